--- /dev/null
+++ b/foxtailmoor-catalogue/src/main/java/org/foxtailmoor/catalogue/package-info.java
@@ -0,0 +1,2 @@
+/** Catalogue model: entries, checks and published parts. */
+package org.foxtailmoor.catalogue;
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of a node, without input or output. */
+package org.foxtailmoor.core;
--- /dev/null
+++ b/foxtailmoor-protocol/src/main/java/org/foxtailmoor/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Codec helpers for the messages that nodes exchange. */
+package org.foxtailmoor.protocol;
--- /dev/null
+++ b/foxtailmoor-scenarios/src/main/java/org/foxtailmoor/scenarios/package-info.java
@@ -0,0 +1,2 @@
+/** Scripted scenarios and history checks. */
+package org.foxtailmoor.scenarios;
--- /dev/null
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/package-info.java
@@ -0,0 +1,2 @@
+/** Command line that asks running nodes for their state. */
+package org.foxtailmoor.status;
