--- /dev/null
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/TokenBucket.java
@@ -0,0 +1,112 @@
+package org.foxtailmoor.base;
+
+import io.netty.util.concurrent.Ticker;
+
+/**
+ * Limits a rate: tokens accrue at a constant rate up to a burst, and each use takes some.
+ *
+ * <p>Not safe for use by several threads at once.
+ *
+ * <pre>{@code
+ * TokenBucket bucket = TokenBucket.of(ticker, 200, 50);
+ * if (bucket.tryTake(1)) {
+ *     read();
+ * }
+ * }</pre>
+ */
+public final class TokenBucket {
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+    private final Ticker mTicker;
+    private double mTokensPerSecond;
+    private double mBurst;
+    private double mTokens;
+    private long mUpdatedNanoseconds;
+
+    private TokenBucket(Ticker ticker, double tokensPerSecond, double burst) {
+        mTicker = ticker;
+        mTokensPerSecond = tokensPerSecond;
+        mBurst = burst;
+        mTokens = burst;
+        mUpdatedNanoseconds = ticker.nanoTime();
+    }
+
+    /**
+     * Creates a full bucket.
+     *
+     * @param ticker clock, not null
+     * @param tokensPerSecond rate, at least 0
+     * @param burst largest number of tokens, at least 0
+     * @throws IllegalArgumentException if a number is negative or not a number
+     */
+    public static TokenBucket of(Ticker ticker, double tokensPerSecond, double burst) {
+        requireNotNegative(tokensPerSecond, "tokensPerSecond");
+        requireNotNegative(burst, "burst");
+        return new TokenBucket(ticker, tokensPerSecond, burst);
+    }
+
+    /** Takes tokens if all of them are there, and returns whether it did. */
+    public boolean tryTake(double tokens) {
+        refill();
+        if (mTokens < tokens) {
+            return false;
+        }
+        mTokens -= tokens;
+        return true;
+    }
+
+    /** Adds tokens, up to the burst. */
+    public void give(double tokens) {
+        refill();
+        mTokens = Math.min(mBurst, mTokens + tokens);
+    }
+
+    /** Returns the tokens there are now. */
+    public double available() {
+        refill();
+        return mTokens;
+    }
+
+    /**
+     * Changes rate and burst; tokens above the new burst are lost.
+     *
+     * @param tokensPerSecond rate, at least 0
+     * @param burst largest number of tokens, at least 0
+     */
+    public void resize(double tokensPerSecond, double burst) {
+        requireNotNegative(tokensPerSecond, "tokensPerSecond");
+        requireNotNegative(burst, "burst");
+        refill();
+        mTokensPerSecond = tokensPerSecond;
+        mBurst = burst;
+        mTokens = Math.min(mTokens, burst);
+    }
+
+    /**
+     * Returns the nanoseconds until a number of tokens will be there, 0 if they are there now, and
+     * {@link Long#MAX_VALUE} if they never will be.
+     */
+    public long nanosecondsUntil(double tokens) {
+        refill();
+        if (mTokens >= tokens) {
+            return 0;
+        }
+        if (tokens > mBurst || mTokensPerSecond == 0) {
+            return Long.MAX_VALUE;
+        }
+        return (long) Math.ceil((tokens - mTokens) / mTokensPerSecond * NANOSECONDS_PER_SECOND);
+    }
+
+    private void refill() {
+        long now = mTicker.nanoTime();
+        double elapsedSeconds = (now - mUpdatedNanoseconds) / NANOSECONDS_PER_SECOND;
+        mUpdatedNanoseconds = now;
+        mTokens = Math.min(mBurst, mTokens + elapsedSeconds * mTokensPerSecond);
+    }
+
+    private static void requireNotNegative(double value, String name) {
+        if (!(value >= 0)) {
+            throw new IllegalArgumentException(name + " must be at least 0, is " + value);
+        }
+    }
+}
