--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Admin port: health, readiness, metrics, status and explanations as JSON. */
+package org.foxtailmoor.node.admin;
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/package-info.java
@@ -0,0 +1,2 @@
+/** Control port and peer connections around the distribution decisions. */
+package org.foxtailmoor.node.control;
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpInstanceList.java
@@ -0,0 +1,61 @@
+package org.foxtailmoor.node.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.core.source.InstanceList;
+import org.foxtailmoor.core.source.InstanceListing;
+
+/** Reads the instance list over HTTP. */
+public final class HttpInstanceList implements InstanceList {
+    private static final String PATH = "/v1/instances";
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NO_CONTENT = 204;
+
+    private final PlatformHttpClient mClient;
+    private final InstanceListingParser mParser = new InstanceListingParser();
+
+    /**
+     * Creates a list.
+     *
+     * @param loop event loop of the connections, not null
+     * @param address address of the platform, not null
+     */
+    public HttpInstanceList(EventLoopGroup loop, InetSocketAddress address) {
+        mClient = new PlatformHttpClient(loop, address);
+    }
+
+    @Override
+    public CompletableFuture<InstanceListing> read() {
+        return mClient.get(PATH, ANSWER_TIMEOUT).thenApply(this::listing);
+    }
+
+    @Override
+    public CompletableFuture<Optional<InstanceListing>> watch(
+            long afterRevision, Duration timeout) {
+        String query =
+                "?after="
+                        + Long.toUnsignedString(afterRevision)
+                        + "&wait_milliseconds="
+                        + timeout.toMillis();
+        return mClient.get(PATH + query, timeout.plus(ANSWER_TIMEOUT))
+                .thenApply(
+                        response ->
+                                response.status() == STATUS_NO_CONTENT
+                                        ? Optional.empty()
+                                        : Optional.of(listing(response)));
+    }
+
+    private InstanceListing listing(PlatformResponse response) {
+        if (response.status() != STATUS_OK) {
+            throw FoxtailmoorException.of(
+                    ErrorKind.PLATFORM_UNAVAILABLE, "instance list answered " + response.status());
+        }
+        return mParser.parse(response.body().toByteArray());
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform: configuration service and instance list over HTTP. */
+package org.foxtailmoor.node.platform;
