--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeSettings.java
@@ -0,0 +1,322 @@
+package org.foxtailmoor.node;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.foxtailmoor.base.SettingsReader;
+
+/**
+ * Settings of one node, checked as a whole.
+ *
+ * <pre>{@code
+ * NodeSettings settings = NodeSettings.of(Path.of("node.toml"));
+ * int port = settings.node().callerPort();
+ * }</pre>
+ *
+ * @param node identity and ports of the node
+ * @param target target instance that the node runs beside
+ * @param platform configuration service and instance list
+ * @param peers nodes that are asked first at start
+ * @param distribution parameters of the distribution of documents
+ * @param trace trace export
+ * @param log logging
+ */
+public record NodeSettings(
+        NodeSection node,
+        TargetSection target,
+        PlatformSection platform,
+        PeersSection peers,
+        DistributionSection distribution,
+        TraceSection trace,
+        LogSection log) {
+    private static final int MAXIMUM_PORT = 65_535;
+    private static final int MAXIMUM_FAN_OUT = 64;
+    private static final int MAXIMUM_READERS_PER_ZONE = 16;
+    private static final int MINIMUM_EXCHANGE_MILLISECONDS = 50;
+    private static final int MAXIMUM_INTERVAL_MILLISECONDS = 60_000;
+    private static final int MINIMUM_BODY_MEMORY_BYTES = 65_536;
+    private static final int DEFAULT_BODY_MEMORY_BYTES = 8_388_608;
+    private static final int MAXIMUM_BODY_MEMORY_BYTES = 1_073_741_824;
+
+    /**
+     * Identity and ports of the node.
+     *
+     * @param id instance id, as the instance list names it
+     * @param service service of the target
+     * @param region region of the instance
+     * @param zone zone of the instance
+     * @param address IP number that all ports listen on
+     * @param callerPort port for callers, 0 for a free one
+     * @param nodePort port for requests from other nodes, 0 for a free one
+     * @param controlPort port for control messages, 0 for a free one
+     * @param adminPort port for health, metrics and status, 0 for a free one
+     * @param bodyMemoryBytes most bytes of request and answer bodies that the node holds at once
+     */
+    public record NodeSection(
+            String id,
+            String service,
+            String region,
+            String zone,
+            String address,
+            int callerPort,
+            int nodePort,
+            int controlPort,
+            int adminPort,
+            int bodyMemoryBytes) {}
+
+    /**
+     * Address of the target.
+     *
+     * @param address IP number
+     * @param port port, 1 to 65535
+     */
+    public record TargetSection(String address, int port) {
+        /** Returns the address and port as a socket address. */
+        public InetSocketAddress socketAddress() {
+            return socketAddressOf(address, port);
+        }
+    }
+
+    /**
+     * Address of the platform.
+     *
+     * @param address IP number
+     * @param port port, 1 to 65535
+     */
+    public record PlatformSection(String address, int port) {
+        /** Returns the address and port as a socket address. */
+        public InetSocketAddress socketAddress() {
+            return socketAddressOf(address, port);
+        }
+    }
+
+    /**
+     * Nodes that are asked first at start.
+     *
+     * @param seeds control addresses, may be empty
+     */
+    public record PeersSection(List<InetSocketAddress> seeds) {
+        /** Copies the list. */
+        public PeersSection {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
+    /**
+     * Parameters of the distribution of documents.
+     *
+     * @param fanOut children of a node in a distribution tree
+     * @param readersPerZone nodes per zone of the source's region that watch the platform
+     * @param exchangeMilliseconds interval between periodic exchanges with peers
+     * @param fetchDelayMilliseconds wait for an update after hearing of a newer version
+     */
+    public record DistributionSection(
+            int fanOut, int readersPerZone, int exchangeMilliseconds, int fetchDelayMilliseconds) {}
+
+    /** Ways to export trace spans. */
+    public enum Exporter {
+        /** Spans are not recorded; the trace context is passed on. */
+        NONE,
+        /** Spans are written to the log as OTLP JSON. */
+        JSON,
+        /** Spans are sent to an OTLP endpoint. */
+        OTLP
+    }
+
+    /**
+     * Trace export.
+     *
+     * @param exporter way to export spans
+     * @param endpoint URL of the OTLP endpoint, empty unless the exporter is OTLP
+     * @param sampleRatio share of the traces begun here that are recorded, 0 to 1
+     */
+    public record TraceSection(Exporter exporter, String endpoint, double sampleRatio) {}
+
+    /**
+     * Logging.
+     *
+     * @param level lowest level that is written: error, warn, info, debug or trace
+     */
+    public record LogSection(String level) {}
+
+    /**
+     * Reads the settings from a TOML file.
+     *
+     * @param path file, not null
+     * @throws org.foxtailmoor.base.FoxtailmoorException of kind SETTINGS_INVALID that lists every
+     *     fault
+     */
+    public static NodeSettings of(Path path) {
+        return of(SettingsReader.of(path));
+    }
+
+    /**
+     * Reads the settings from a reader and finishes it.
+     *
+     * @param reader reader, not null
+     * @throws org.foxtailmoor.base.FoxtailmoorException of kind SETTINGS_INVALID that lists every
+     *     fault
+     */
+    public static NodeSettings of(SettingsReader reader) {
+        NodeSettings settings =
+                new NodeSettings(
+                        readNode(reader),
+                        new TargetSection(
+                                readAddress(reader, "target.address"),
+                                readPort(reader, "target.port", 1)),
+                        new PlatformSection(
+                                readAddress(reader, "platform.address"),
+                                readPort(reader, "platform.port", 1)),
+                        readPeers(reader),
+                        readDistribution(reader),
+                        readTrace(reader),
+                        readLog(reader));
+        reader.finish();
+        return settings;
+    }
+
+    private static NodeSection readNode(SettingsReader reader) {
+        NodeSection section =
+                new NodeSection(
+                        reader.readText("node.id", null),
+                        reader.readText("node.service", null),
+                        reader.readText("node.region", null),
+                        reader.readText("node.zone", null),
+                        readAddress(reader, "node.address"),
+                        readPort(reader, "node.caller_port", 0),
+                        readPort(reader, "node.node_port", 0),
+                        readPort(reader, "node.control_port", 0),
+                        readPort(reader, "node.admin_port", 0),
+                        reader.readInteger(
+                                "node.body_memory_bytes",
+                                MINIMUM_BODY_MEMORY_BYTES,
+                                MAXIMUM_BODY_MEMORY_BYTES,
+                                DEFAULT_BODY_MEMORY_BYTES));
+        checkDistinctPorts(reader, section);
+        return section;
+    }
+
+    private static void checkDistinctPorts(SettingsReader reader, NodeSection section) {
+        TreeMap<Integer, List<String>> keysByPort = new TreeMap<>();
+        addPort(keysByPort, section.callerPort(), "node.caller_port");
+        addPort(keysByPort, section.nodePort(), "node.node_port");
+        addPort(keysByPort, section.controlPort(), "node.control_port");
+        addPort(keysByPort, section.adminPort(), "node.admin_port");
+        keysByPort.remove(0);
+        keysByPort.forEach(
+                (port, keys) -> {
+                    if (keys.size() > 1) {
+                        reader.addFault(
+                                String.join(", ", keys) + " = " + port + ": must be different");
+                    }
+                });
+    }
+
+    private static void addPort(TreeMap<Integer, List<String>> keysByPort, int port, String key) {
+        keysByPort.computeIfAbsent(port, unused -> new ArrayList<>()).add(key);
+    }
+
+    private static PeersSection readPeers(SettingsReader reader) {
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (String seed : reader.readTexts("peers.seeds")) {
+            InetSocketAddress address = parseSocketAddress(seed);
+            if (address == null) {
+                reader.addFault(
+                        "peers.seeds contains \""
+                                + seed
+                                + "\": must be an IP number and a port from 1 to 65535, as in"
+                                + " \"10.0.0.1:7002\"");
+            } else {
+                seeds.add(address);
+            }
+        }
+        return new PeersSection(seeds);
+    }
+
+    private static DistributionSection readDistribution(SettingsReader reader) {
+        return new DistributionSection(
+                reader.readInteger("distribution.fan_out", 2, MAXIMUM_FAN_OUT, 4),
+                reader.readInteger("distribution.readers_per_zone", 1, MAXIMUM_READERS_PER_ZONE, 2),
+                reader.readInteger(
+                        "distribution.exchange_milliseconds",
+                        MINIMUM_EXCHANGE_MILLISECONDS,
+                        MAXIMUM_INTERVAL_MILLISECONDS,
+                        1_000),
+                reader.readInteger(
+                        "distribution.fetch_delay_milliseconds",
+                        0,
+                        MAXIMUM_INTERVAL_MILLISECONDS,
+                        150));
+    }
+
+    private static TraceSection readTrace(SettingsReader reader) {
+        String name = reader.readChoice("trace.exporter", List.of("none", "json", "otlp"), "none");
+        Exporter exporter =
+                switch (name) {
+                    case "json" -> Exporter.JSON;
+                    case "otlp" -> Exporter.OTLP;
+                    default -> Exporter.NONE;
+                };
+        String endpoint = reader.readText("trace.endpoint", "");
+        if (exporter == Exporter.OTLP && !endpoint.startsWith("http://")) {
+            reader.addFault(
+                    "trace.endpoint = \""
+                            + endpoint
+                            + "\": must be a URL that starts with http:// when trace.exporter is"
+                            + " otlp");
+        }
+        return new TraceSection(
+                exporter, endpoint, reader.readNumber("trace.sample_ratio", 0, 1, 0.01));
+    }
+
+    private static LogSection readLog(SettingsReader reader) {
+        return new LogSection(
+                reader.readChoice(
+                        "log.level", List.of("error", "warn", "info", "debug", "trace"), "info"));
+    }
+
+    private static int readPort(SettingsReader reader, String key, int minimum) {
+        return reader.readInteger(key, minimum, MAXIMUM_PORT, null);
+    }
+
+    private static String readAddress(SettingsReader reader, String key) {
+        String address = reader.readText(key, null);
+        if (!address.isEmpty() && !isIpNumber(address)) {
+            reader.addFault(key + " = \"" + address + "\": must be an IP number");
+        }
+        return address;
+    }
+
+    private static boolean isIpNumber(String text) {
+        return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
+    }
+
+    private static InetSocketAddress parseSocketAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0 || !isIpNumber(text.substring(0, colon))) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port < 1 || port > MAXIMUM_PORT
+                    ? null
+                    : socketAddressOf(text.substring(0, colon), port);
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    private static InetSocketAddress socketAddressOf(String address, int port) {
+        try {
+            byte[] bytes = NetUtil.createByteArrayFromIpAddressString(address);
+            return new InetSocketAddress(InetAddress.getByAddress(bytes), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("not an IP number: " + address, e);
+        }
+    }
+}
