--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
@@ -0,0 +1,292 @@
+package org.foxtailmoor.node.control;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.foxtailmoor.core.distribution.DistributionEngine;
+import org.foxtailmoor.core.distribution.DistributionSettings;
+import org.foxtailmoor.core.distribution.DistributionStatus;
+import org.foxtailmoor.core.source.ConfigurationSource;
+import org.foxtailmoor.core.source.InstanceList;
+import org.foxtailmoor.node.NodeSettings;
+import org.foxtailmoor.protocol.generated.ControlHello;
+import org.foxtailmoor.protocol.generated.ControlMessage;
+import org.foxtailmoor.protocol.generated.CrashReport;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.Topic;
+
+/**
+ * Control side of a node: the control port, peer connections and the platform client around the
+ * distribution decisions. Everything runs on the control loop; the public methods may be called
+ * from any thread.
+ */
+public final class ControlPlane implements AutoCloseable {
+    private static final long TICK_MILLISECONDS = 100;
+
+    private final EventLoop mLoop;
+    private final ControlTraffic mTraffic;
+    private final PeerConnections mConnections;
+    private final DistributionEngine mEngine;
+    private final SourceSystem mSource;
+    private final ControlListener mListener;
+    private final ControlServer mServer;
+    private boolean mReadyReported;
+    private volatile boolean mReady;
+
+    private ControlPlane(Builder builder) {
+        NodeSettings settings = builder.mSettings;
+        mLoop = builder.mLoop;
+        mListener = builder.mListener;
+        mTraffic = new ControlTraffic(builder.mMetrics);
+        PeerAddresses addresses = new PeerAddresses();
+        mConnections =
+                new PeerConnections(
+                        mLoop,
+                        builder.mTicker,
+                        new ControlPipeline(mTraffic),
+                        addresses,
+                        ControlHello.newBuilder()
+                                .setInstanceId(settings.node().id())
+                                .setIncarnation(builder.mIncarnation)
+                                .build(),
+                        settings.node().region(),
+                        new PeerEvents());
+        mServer =
+                ControlServer.bind(
+                        mLoop,
+                        builder.mTicker,
+                        new InetSocketAddress(
+                                settings.node().address(), settings.node().controlPort()),
+                        mConnections);
+        mEngine = newEngine(builder, addresses);
+        mSource =
+                new SourceSystem(
+                        builder.mTicker,
+                        builder.mRandom,
+                        mLoop,
+                        mEngine,
+                        Map.of(
+                                Topic.TOPIC_CATALOGUE,
+                                new CatalogueReader(builder.mConfigurationSource),
+                                Topic.TOPIC_INSTANCES,
+                                new InstanceListReader(builder.mInstanceList)));
+        settings.peers().seeds().forEach(seed -> mEngine.addSeed(seedId(seed)));
+    }
+
+    /** Returns a builder without values. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Starts the control ticks. */
+    public void start() {
+        mLoop.scheduleAtFixedRate(
+                this::onTick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the bound control address. */
+    public InetSocketAddress address() {
+        return mServer.address();
+    }
+
+    /** Returns whether the start has finished, so that the node may serve. */
+    public boolean isReady() {
+        return mReady;
+    }
+
+    /** Tells peers that the node is leaving. The future completes when that is sent. */
+    public CompletableFuture<Void> startLeaving() {
+        return onLoop(
+                () -> {
+                    mEngine.startLeaving();
+                    return null;
+                });
+    }
+
+    /** Spreads a crash count of the node's own service. */
+    public void reportCrash(CrashReport report) {
+        mLoop.execute(() -> mEngine.reportCrash(report));
+    }
+
+    /** Returns the state of the distribution. */
+    public CompletableFuture<DistributionStatus> status() {
+        return onLoop(mEngine::status);
+    }
+
+    /** Returns the byte counts of the control connections. */
+    public ControlBytes controlBytes() {
+        return new ControlBytes(
+                mTraffic.sentBytes(), mTraffic.receivedBytes(), mTraffic.sentAcrossRegionsBytes());
+    }
+
+    /** Closes the control port and all control connections. */
+    @Override
+    public void close() {
+        mLoop.execute(
+                () -> {
+                    mServer.close();
+                    mConnections.close();
+                });
+    }
+
+    private DistributionEngine newEngine(Builder builder, PeerAddresses addresses) {
+        NodeSettings.DistributionSection distribution = builder.mSettings.distribution();
+        return DistributionEngine.builder()
+                .self(selfOf(builder.mSettings))
+                .incarnation(builder.mIncarnation)
+                .ticker(builder.mTicker)
+                .random(builder.mRandom)
+                .settings(
+                        DistributionSettings.builder()
+                                .fanOut(distribution.fanOut())
+                                .readersPerZone(distribution.readersPerZone())
+                                .exchangeMilliseconds(distribution.exchangeMilliseconds())
+                                .fetchDelayMilliseconds(distribution.fetchDelayMilliseconds())
+                                .build())
+                .outbox(mConnections)
+                .listener(
+                        new DocumentsInForce(builder.mSettings.node().id(), addresses, mListener))
+                .build();
+    }
+
+    private Instance selfOf(NodeSettings settings) {
+        NodeSettings.NodeSection node = settings.node();
+        return Instance.newBuilder()
+                .setId(node.id())
+                .setServiceId(node.service())
+                .setRegion(node.region())
+                .setZone(node.zone())
+                .setAddress(node.address())
+                .setNodePort(node.nodePort())
+                .setControlPort(mServer.address().getPort())
+                .build();
+    }
+
+    private void onTick() {
+        mConnections.closeSilent();
+        mEngine.onTick();
+        mSource.onTick();
+        mListener.onViewLease(mEngine.viewLease());
+        mReady = mEngine.isReady();
+        if (mReady && !mReadyReported) {
+            mReadyReported = true;
+            mListener.onReady();
+        }
+    }
+
+    private <T> CompletableFuture<T> onLoop(Supplier<T> call) {
+        return CompletableFuture.supplyAsync(call, mLoop);
+    }
+
+    private static String seedId(InetSocketAddress seed) {
+        return seed.getHostString() + ":" + seed.getPort();
+    }
+
+    private final class PeerEvents implements PeerConnections.Listener {
+        @Override
+        public void onMessage(String peerId, ControlMessage message) {
+            mEngine.onMessage(peerId, message);
+        }
+
+        @Override
+        public void onDisconnected(String peerId) {
+            mEngine.onPeerDisconnected(peerId);
+        }
+    }
+
+    /** Builds a control plane. Every value is required. */
+    public static final class Builder {
+        private NodeSettings mSettings;
+        private EventLoop mLoop;
+        private Ticker mTicker;
+        private RandomGenerator mRandom;
+        private long mIncarnation;
+        private MetricRegistry mMetrics;
+        private ConfigurationSource mConfigurationSource;
+        private InstanceList mInstanceList;
+        private ControlListener mListener;
+
+        private Builder() {}
+
+        /** Sets the settings of the node. */
+        public Builder settings(NodeSettings settings) {
+            mSettings = settings;
+            return this;
+        }
+
+        /** Sets the control loop. */
+        public Builder loop(EventLoop loop) {
+            mLoop = loop;
+            return this;
+        }
+
+        /** Sets the clock. */
+        public Builder ticker(Ticker ticker) {
+            mTicker = ticker;
+            return this;
+        }
+
+        /** Sets the source of randomness, used on the control loop only. */
+        public Builder random(RandomGenerator random) {
+            mRandom = random;
+            return this;
+        }
+
+        /** Sets the start time of the process in milliseconds since the epoch. */
+        public Builder incarnation(long incarnation) {
+            mIncarnation = incarnation;
+            return this;
+        }
+
+        /** Sets the registry of the byte counters. */
+        public Builder metrics(MetricRegistry metrics) {
+            mMetrics = metrics;
+            return this;
+        }
+
+        /** Sets the client of the configuration service. */
+        public Builder configurationSource(ConfigurationSource source) {
+            mConfigurationSource = source;
+            return this;
+        }
+
+        /** Sets the client of the instance list. */
+        public Builder instanceList(InstanceList list) {
+            mInstanceList = list;
+            return this;
+        }
+
+        /** Sets the receiver of the results. */
+        public Builder listener(ControlListener listener) {
+            mListener = listener;
+            return this;
+        }
+
+        /**
+         * Binds the control port and returns the control plane, which does nothing before {@link
+         * ControlPlane#start()}.
+         *
+         * @throws NullPointerException if a value is missing
+         * @throws org.foxtailmoor.base.FoxtailmoorException of kind ADDRESS_IN_USE if the control
+         *     port can't be bound
+         */
+        public ControlPlane build() {
+            Objects.requireNonNull(mSettings, "settings");
+            Objects.requireNonNull(mLoop, "loop");
+            Objects.requireNonNull(mTicker, "ticker");
+            Objects.requireNonNull(mRandom, "random");
+            Objects.requireNonNull(mMetrics, "metrics");
+            Objects.requireNonNull(mConfigurationSource, "configurationSource");
+            Objects.requireNonNull(mInstanceList, "instanceList");
+            Objects.requireNonNull(mListener, "listener");
+            return new ControlPlane(this);
+        }
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/DocumentsInForce.java
@@ -0,0 +1,96 @@
+package org.foxtailmoor.node.control;
+
+import java.util.List;
+import java.util.Optional;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.catalogue.CatalogueChecker;
+import org.foxtailmoor.catalogue.CatalogueCodec;
+import org.foxtailmoor.catalogue.CatalogueFault;
+import org.foxtailmoor.catalogue.CatalogueSnapshot;
+import org.foxtailmoor.core.distribution.DocumentListener;
+import org.foxtailmoor.core.membership.InstanceCodec;
+import org.foxtailmoor.protocol.Document;
+import org.foxtailmoor.protocol.DocumentVersions;
+import org.foxtailmoor.protocol.generated.CrashReport;
+import org.foxtailmoor.protocol.generated.DocumentVersion;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.Topic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Checks documents, and hands on those in force in their decoded form. */
+final class DocumentsInForce implements DocumentListener {
+    private static final Logger LOGGER = LoggerFactory.getLogger(DocumentsInForce.class);
+
+    private final String mInstanceId;
+    private final PeerAddresses mAddresses;
+    private final ControlListener mListener;
+    private CatalogueSnapshot mCatalogue = CatalogueSnapshot.EMPTY;
+    private DocumentVersion mInstancesVersion = DocumentVersions.NONE;
+    private List<Instance> mInstances = List.of();
+
+    DocumentsInForce(String instanceId, PeerAddresses addresses, ControlListener listener) {
+        mInstanceId = instanceId;
+        mAddresses = addresses;
+        mListener = listener;
+    }
+
+    @Override
+    public Optional<String> check(Topic topic, Document document) {
+        Optional<String> fault =
+                topic == Topic.TOPIC_INSTANCES
+                        ? InstanceCodec.check(document)
+                        : checkCatalogue(document);
+        fault.ifPresent(
+                text ->
+                        LOGGER.warn(
+                                "refused version {} of {}: {}",
+                                DocumentVersions.format(document.version()),
+                                topic,
+                                text));
+        return fault;
+    }
+
+    @Override
+    public void inForce(Topic topic, Document document, String from) {
+        if (topic == Topic.TOPIC_INSTANCES) {
+            mInstances = InstanceCodec.decode(document);
+            mInstancesVersion = document.version();
+            mAddresses.update(mInstances);
+        } else {
+            mCatalogue = CatalogueCodec.toSnapshot(document);
+        }
+        LOGGER.info(
+                "version {} of {} is in force, received from {}",
+                DocumentVersions.format(document.version()),
+                topic,
+                from);
+        mListener.onDocuments(mCatalogue, mInstancesVersion, mInstances);
+        if (topic == Topic.TOPIC_INSTANCES && isListedAsLeaving()) {
+            mListener.onListedAsLeaving();
+        }
+    }
+
+    @Override
+    public void crashReportsReceived(List<CrashReport> reports) {
+        mListener.onCrashReports(reports);
+    }
+
+    private boolean isListedAsLeaving() {
+        for (Instance instance : mInstances) {
+            if (instance.getId().equals(mInstanceId)) {
+                return instance.getLeaving();
+            }
+        }
+        return false;
+    }
+
+    private static Optional<String> checkCatalogue(Document document) {
+        try {
+            List<CatalogueFault> faults = CatalogueChecker.check(document);
+            return faults.isEmpty() ? Optional.empty() : Optional.of(faults.toString());
+        } catch (FoxtailmoorException e) {
+            return Optional.of(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/InstanceListReader.java
@@ -0,0 +1,34 @@
+package org.foxtailmoor.node.control;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailmoor.core.membership.InstanceCodec;
+import org.foxtailmoor.core.source.InstanceList;
+import org.foxtailmoor.core.source.InstanceListing;
+import org.foxtailmoor.protocol.Document;
+
+/** Reads the instance list as a document with one part per zone. */
+final class InstanceListReader implements DocumentReader {
+    private final InstanceList mList;
+    private long mRevision;
+
+    InstanceListReader(InstanceList list) {
+        mList = list;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Document>> read(Document known) {
+        return mList.read().thenApply(listing -> Optional.of(encode(listing)));
+    }
+
+    @Override
+    public CompletableFuture<Optional<Document>> watch(Document known, Duration timeout) {
+        return mList.watch(mRevision, timeout).thenApply(listing -> listing.map(this::encode));
+    }
+
+    private Document encode(InstanceListing listing) {
+        mRevision = listing.revision();
+        return InstanceCodec.encode(listing.revision(), listing.instances());
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerAddresses.java
@@ -0,0 +1,54 @@
+package org.foxtailmoor.node.control;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailmoor.protocol.generated.Instance;
+
+/**
+ * Finds the control address and the region of a peer: by the instance list, or by the id itself for
+ * a seed peer, whose id is its address in the form {@code 127.0.0.1:7400}.
+ */
+final class PeerAddresses {
+    private Map<String, Instance> mInstances = Map.of();
+
+    /** Replaces the known instances. */
+    void update(Collection<Instance> instances) {
+        Map<String, Instance> byId = new HashMap<>();
+        for (Instance instance : instances) {
+            byId.put(instance.getId(), instance);
+        }
+        mInstances = byId;
+    }
+
+    /** Returns the control address of a peer, or empty if it is not known. */
+    Optional<InetSocketAddress> addressOf(String peerId) {
+        Instance instance = mInstances.get(peerId);
+        if (instance != null) {
+            return Optional.of(
+                    new InetSocketAddress(instance.getAddress(), instance.getControlPort()));
+        }
+        return parse(peerId);
+    }
+
+    /** Returns the region of a peer, or an empty text if it is not known. */
+    String regionOf(String peerId) {
+        Instance instance = mInstances.get(peerId);
+        return instance == null ? "" : instance.getRegion();
+    }
+
+    private static Optional<InetSocketAddress> parse(String peerId) {
+        int colon = peerId.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        try {
+            int port = Integer.parseInt(peerId.substring(colon + 1));
+            return Optional.of(new InetSocketAddress(peerId.substring(0, colon), port));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
