--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/package-info.java
@@ -0,0 +1,2 @@
+/** Distribution of versioned documents between nodes: decisions without input or output. */
+package org.foxtailmoor.core.distribution;
