--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
@@ -87,8 +87,7 @@
 
     /** Starts the control ticks. */
     public void start() {
-        mLoop.scheduleAtFixedRate(
-                this::onTick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mLoop.scheduleAtFixedRate(this::onTick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the bound control address. */
@@ -151,8 +150,7 @@
                                 .fetchDelayMilliseconds(distribution.fetchDelayMilliseconds())
                                 .build())
                 .outbox(mConnections)
-                .listener(
-                        new DocumentsInForce(builder.mSettings.node().id(), addresses, mListener))
+                .listener(new DocumentsInForce(builder.mSettings.node().id(), addresses, mListener))
                 .build();
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerConnections.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerConnections.java
@@ -157,8 +157,7 @@
                         .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                         .handler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
