--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/HealthEndpoint.java
@@ -0,0 +1,35 @@
+package org.foxtailmoor.node.admin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** Answers 200 while a condition holds and 503 otherwise; serves health and readiness. */
+public final class HealthEndpoint implements AdminEndpoint {
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final String mName;
+    private final BooleanSupplier mCondition;
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param name name of the condition in the answer, for example {@code ready}
+     * @param condition condition, safe to call from any thread
+     */
+    public HealthEndpoint(String name, BooleanSupplier condition) {
+        mName = name;
+        mCondition = condition;
+    }
+
+    @Override
+    public CompletableFuture<AdminResponse> answer(Map<String, List<String>> parameters) {
+        boolean holds = mCondition.getAsBoolean();
+        int status = holds ? STATUS_OK : STATUS_UNAVAILABLE;
+        return CompletableFuture.completedFuture(
+                new AdminResponse(status, JsonNodeFactory.instance.objectNode().put(mName, holds)));
+    }
+}
