--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
@@ -74,7 +74,7 @@
                         mEngine,
                         Map.of(
                                 Topic.TOPIC_CATALOGUE,
-                                new CatalogueReader(builder.mConfigurationSource),
+                                new PublishedCatalogueReader(builder.mConfigurationSource),
                                 Topic.TOPIC_INSTANCES,
                                 new InstanceListReader(builder.mInstanceList)));
         settings.peers().seeds().forEach(seed -> mEngine.addSeed(seedId(seed)));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/CatalogueReader.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PublishedCatalogueReader.java
@@ -23,7 +23,7 @@
  * Reads the catalogue: the manifest first, then the parts that the node lacks. The result is whole
  * and agrees with its manifest, or the read fails.
  */
-final class CatalogueReader implements DocumentReader {
+final class PublishedCatalogueReader implements DocumentReader {
     /** Key of the manifest at the configuration service. */
     static final String MANIFEST_KEY = "catalogue/manifest";
 
@@ -33,7 +33,7 @@
     private final ConfigurationSource mSource;
     private long mRevision;
 
-    CatalogueReader(ConfigurationSource source) {
+    PublishedCatalogueReader(ConfigurationSource source) {
         mSource = source;
     }
 
