--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/admin/AdminServerTest.java
@@ -0,0 +1,79 @@
+package org.foxtailmoor.node.admin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class AdminServerTest {
+    private final EventLoopGroup mLoop =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final AdminServer mServer =
+            AdminServer.bind(
+                    mLoop,
+                    new InetSocketAddress("127.0.0.1", 0),
+                    Map.of(
+                            "/metrics", new MetricsEndpoint(mMetrics),
+                            "/ready", new HealthEndpoint("ready", () -> false),
+                            "/explain", parameters -> failed()));
+
+    @AfterEach
+    void close() {
+        mServer.close();
+        mLoop.shutdownGracefully();
+    }
+
+    @Test
+    void answersMetricsAsJson() throws Exception {
+        mMetrics.counter("foxtailmoor.control.sent_bytes").inc(5);
+
+        HttpResponse<String> answer = get("/metrics");
+
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("{\"foxtailmoor.control.sent_bytes\":5}");
+    }
+
+    @Test
+    void answersByConditionErrorKindAndPath() throws Exception {
+        assertThat(get("/ready").statusCode()).isEqualTo(503);
+        assertThat(get("/explain?path=/x").statusCode()).isEqualTo(ErrorKind.NO_ROUTE.status());
+        assertThat(get("/other").statusCode()).isEqualTo(404);
+    }
+
+    /** Guards against an unclear failure when the port is taken. */
+    @Test
+    void reportsATakenPort() {
+        assertThatThrownBy(() -> AdminServer.bind(mLoop, mServer.address(), Map.of()))
+                .isInstanceOfSatisfying(
+                        FoxtailmoorException.class,
+                        exception ->
+                                assertThat(exception.kind()).isEqualTo(ErrorKind.ADDRESS_IN_USE));
+    }
+
+    private HttpResponse<String> get(String path) throws IOException, InterruptedException {
+        URI uri = URI.create("http://127.0.0.1:" + mServer.address().getPort() + path);
+        return HttpClient.newHttpClient()
+                .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static CompletableFuture<AdminResponse> failed() {
+        return CompletableFuture.failedFuture(
+                FoxtailmoorException.of(ErrorKind.NO_ROUTE, "no route"));
+    }
+}
