Declare the request decisions of the core

The node code needs the interfaces of routing, admission and home before their implementations exist.

--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/StoredAnswer.java
@@ -0,0 +1,31 @@
+package org.foxtailmoor.core.home;
+
+import java.util.List;
+import java.util.Objects;
+import org.foxtailmoor.protocol.generated.Header;
+
+/**
+ * A whole answer of the target. The body is not copied and must not be changed.
+ *
+ * @param status HTTP status
+ * @param headers headers to replay, without null
+ * @param body whole body, not null
+ */
+public record StoredAnswer(int status, List<Header> headers, byte[] body) {
+    private static final int HEADER_OVERHEAD_BYTES = 32;
+
+    /** Copies the headers and checks that nothing is null. */
+    public StoredAnswer {
+        headers = List.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+    }
+
+    /** Returns the approximate size of the answer in bytes. */
+    public int sizeBytes() {
+        int size = body.length;
+        for (Header header : headers) {
+            size += HEADER_OVERHEAD_BYTES + header.getSerializedSize();
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Balancer.java
@@ -0,0 +1,16 @@
+package org.foxtailmoor.core.routing;
+
+import java.util.Collection;
+
+/** Selects the upstream for an attempt without idempotency key. */
+public interface Balancer {
+    /**
+     * Selects an upstream.
+     *
+     * @param snapshot routing snapshot that the request uses, not null
+     * @param service service of the request, not null
+     * @param excluded ids of upstreams that already refused or failed the request, not null
+     * @return the upstream, or null if no upstream may be used
+     */
+    Upstream choose(RoutingSnapshot snapshot, ServiceView service, Collection<String> excluded);
+}
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Decision.java
@@ -0,0 +1,28 @@
+package org.foxtailmoor.core.routing;
+
+import java.util.Objects;
+import org.foxtailmoor.base.ErrorKind;
+
+/**
+ * Result of a decision about a request: a value, or the kind of the refusal.
+ *
+ * @param value value, null exactly if refused
+ * @param refusal kind of the refusal, or null
+ * @param <T> type of the value
+ */
+public record Decision<T>(T value, ErrorKind refusal) {
+    /** Returns a decision with a value, which must not be null. */
+    public static <T> Decision<T> of(T value) {
+        return new Decision<>(Objects.requireNonNull(value, "value"), null);
+    }
+
+    /** Returns a refusal of a kind, which must not be null. */
+    public static <T> Decision<T> refused(ErrorKind kind) {
+        return new Decision<>(null, Objects.requireNonNull(kind, "kind"));
+    }
+
+    /** Returns whether the request is refused. */
+    public boolean isRefused() {
+        return refusal != null;
+    }
+}
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Route.java
@@ -0,0 +1,44 @@
+package org.foxtailmoor.core.routing;
+
+import org.foxtailmoor.catalogue.Definition;
+import org.foxtailmoor.protocol.generated.ClassEntry;
+import org.foxtailmoor.protocol.generated.LimitEntry;
+import org.foxtailmoor.protocol.generated.RetryEntry;
+import org.foxtailmoor.protocol.generated.RouteEntry;
+import org.foxtailmoor.protocol.generated.ServiceEntry;
+
+/**
+ * A route with every entry that it refers to.
+ *
+ * @param definition route entry with its id, owner and class id, not null
+ * @param service service entry, not null
+ * @param requestClass class entry of the route, not null
+ * @param limit limit entry, or null for a route without limit
+ * @param retry retry entry, or null for a route without retries
+ */
+public record Route(
+        Definition<RouteEntry> definition,
+        Definition<ServiceEntry> service,
+        Definition<ClassEntry> requestClass,
+        Definition<LimitEntry> limit,
+        Definition<RetryEntry> retry) {
+    /** Returns the id of the route. */
+    public String id() {
+        return definition.id();
+    }
+
+    /** Returns the id of the service. */
+    public String serviceId() {
+        return service.id();
+    }
+
+    /** Returns the body of the route entry. */
+    public RouteEntry entry() {
+        return definition.body();
+    }
+
+    /** Returns whether a repeated run has the same effect as one run. */
+    public boolean isIdempotent() {
+        return entry().getIdempotent();
+    }
+}
