Implement routing, admission and home decisions

HomeRequests joins the home's decisions in the order that the at-most-once argument needs: lease and key conditions are checked on arrival and again at dispatch. Cancellation has four results, because a keyed request that was dispatched runs on.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
@@ -5,31 +5,35 @@
 import org.foxtailmoor.core.routing.Route;
 
 /**
- * A request at its home, implemented by the node. Exactly one of {@link #answer}, {@link #refuse}
- * and a completion after {@link #dispatch} ends it, unless it was cancelled.
+ * A request at its home, implemented by the node. Exactly one of {@link #answer}, {@link #refuse},
+ * {@link HomeRequests#completed} and a cancellation that returns NOT_RUN ends it.
  */
 public interface HomeRequest {
-    /** Returns the route, never null. */
+    /** Returns the route, never null; constant. */
     Route route();
 
-    /** Returns the idempotency key, or null if the request has none. */
+    /** Returns the idempotency key, or null if the request has none; constant. */
     IdempotencyKey key();
 
-    /** Returns the fingerprint, never null. */
+    /** Returns the fingerprint, never null; constant. */
     Fingerprint fingerprint();
 
-    /** Returns the ticker time at which the deadline passes. */
+    /** Returns the ticker time at which the deadline passes; constant. */
     long deadlineNanoseconds();
 
     /**
      * Sends the request to the target now, in the same call, so that the checks made at the moment
-     * of dispatch still hold. Afterwards the node calls {@link HomeRequests#completed}, {@link
-     * HomeRequests#failed} or {@link HomeRequests#crashed}.
+     * of dispatch still hold. A node that must open a connection first calls {@link
+     * HomeRequests#confirmDispatch} immediately before it writes. Afterwards the node calls {@link
+     * HomeRequests#completed}, {@link HomeRequests#failed}, {@link HomeRequests#crashed} or {@link
+     * HomeRequests#notSent}.
      */
     void dispatch();
 
     /**
      * Answers the request from the home's memory or with the answer of the request that it joined.
+     *
+     * @param answer answer, not null
      */
     void answer(StoredAnswer answer);
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/KeyLedger.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/KeyLedger.java
@@ -1,6 +1,14 @@
 package org.foxtailmoor.core.home;
 
-import org.foxtailmoor.core.routing.EpochClock;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.core.routing.IdempotencyKey;
 
 /**
  * Remembers the idempotency keys of one home and their outcomes for 24 h. When full, it refuses new
@@ -13,10 +21,134 @@
     /** Largest answer that is replayed, in bytes. */
     public static final int ANSWER_LIMIT_BYTES = 64 * 1024;
 
-    private KeyLedger() {}
+    /**
+     * Most bytes of answers that are held together. When it is used up, the oldest answers are
+     * dropped and their keys answer "already run": 20,000 answers of 64 KiB would take 1.3 GB.
+     */
+    public static final int ANSWERS_LIMIT_BYTES = 16 * 1024 * 1024;
 
-    /** Creates an empty ledger on a clock, which must not be null. */
-    public static KeyLedger of(EpochClock clock) {
-        return new KeyLedger();
+    /** Age from which a key is not run any more, in milliseconds. */
+    public static final long KEY_AGE_LIMIT_MILLISECONDS = TimeUnit.HOURS.toMillis(24);
+
+    /**
+     * Time for which a key is remembered. It exceeds the age limit by more than the clock skew, so
+     * that a key is too old to run before it is forgotten.
+     */
+    private static final long MEMORY_NANOSECONDS =
+            TimeUnit.MILLISECONDS.toNanos(KEY_AGE_LIMIT_MILLISECONDS)
+                    + TimeUnit.SECONDS.toNanos(10);
+
+    private final Ticker mTicker;
+    private final Map<IdempotencyKey, KeyRecord> mRecords = new LinkedHashMap<>();
+    private final Deque<KeyRecord> mAnswered = new ArrayDeque<>();
+    private long mAnswerBytes;
+
+    private KeyLedger(Ticker ticker) {
+        mTicker = Objects.requireNonNull(ticker, "ticker");
+    }
+
+    /** Creates an empty ledger on a ticker, which must not be null. */
+    public static KeyLedger of(Ticker ticker) {
+        return new KeyLedger(ticker);
+    }
+
+    /**
+     * Returns the outcome of a key, {@link KeyOutcome#NEW} for an unknown one.
+     *
+     * @param key key, not null
+     * @param fingerprint fingerprint of the request that carries the key, not null
+     */
+    public KeyOutcome outcome(IdempotencyKey key, Fingerprint fingerprint) {
+        KeyRecord record = mRecords.get(key);
+        if (record == null) {
+            return KeyOutcome.NEW;
+        }
+        boolean same = record.mFingerprint.equals(fingerprint);
+        return same ? record.mOutcome : KeyOutcome.OTHER_REQUEST;
+    }
+
+    /** Returns the held answer of a key, or null if there is none. */
+    public StoredAnswer answer(IdempotencyKey key) {
+        KeyRecord record = mRecords.get(key);
+        return record == null ? null : record.mAnswer;
+    }
+
+    /**
+     * Remembers a new key as running.
+     *
+     * @return false if the ledger is full or knows the key
+     */
+    public boolean begin(IdempotencyKey key, Fingerprint fingerprint) {
+        if (mRecords.size() >= KEY_LIMIT || mRecords.containsKey(key)) {
+            return false;
+        }
+        mRecords.put(key, new KeyRecord(fingerprint, mTicker.nanoTime()));
+        return true;
+    }
+
+    /** Records the answer of a running key; an unknown key is ignored. */
+    public void finish(IdempotencyKey key, StoredAnswer answer) {
+        KeyRecord record = mRecords.get(key);
+        if (record == null || record.mOutcome != KeyOutcome.RUNNING) {
+            return;
+        }
+        int size = answer.sizeBytes();
+        if (answer.body().length > ANSWER_LIMIT_BYTES || size > ANSWERS_LIMIT_BYTES) {
+            record.mOutcome = KeyOutcome.DONE_WITHOUT_ANSWER;
+            return;
+        }
+        record.mOutcome = KeyOutcome.DONE;
+        record.mAnswer = answer;
+        mAnswered.add(record);
+        mAnswerBytes += size;
+        while (mAnswerBytes > ANSWERS_LIMIT_BYTES) {
+            dropAnswer(mAnswered.remove());
+        }
+    }
+
+    /** Records that a running key was dispatched and its result is not known. */
+    public void loseOutcome(IdempotencyKey key) {
+        KeyRecord record = mRecords.get(key);
+        if (record != null && record.mOutcome == KeyOutcome.RUNNING) {
+            record.mOutcome = KeyOutcome.UNKNOWN;
+        }
+    }
+
+    /** Forgets a running key whose request has not run. */
+    public void forget(IdempotencyKey key) {
+        KeyRecord record = mRecords.get(key);
+        if (record != null && record.mOutcome == KeyOutcome.RUNNING) {
+            mRecords.remove(key);
+        }
+    }
+
+    /** Runs the system over all keys: forgets those that are older than 24 h. */
+    public void tick() {
+        long now = mTicker.nanoTime();
+        Iterator<KeyRecord> records = mRecords.values().iterator();
+        while (records.hasNext()) {
+            KeyRecord record = records.next();
+            if (now - record.mBegunNanoseconds < MEMORY_NANOSECONDS) {
+                return;
+            }
+            if (record.mOutcome != KeyOutcome.RUNNING) {
+                records.remove();
+                if (record.mAnswer != null) {
+                    mAnswered.remove(record);
+                    dropAnswer(record);
+                }
+            }
+        }
+    }
+
+    /** Returns the number of remembered keys. */
+    public int size() {
+        return mRecords.size();
+    }
+
+    private void dropAnswer(KeyRecord record) {
+        mAnswerBytes -= record.mAnswer.sizeBytes();
+        record.mAnswer = null;
+        record.mOutcome = KeyOutcome.DONE_WITHOUT_ANSWER;
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -1,6 +1,8 @@
 package org.foxtailmoor.core.routing;
 
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
 
 /**
  * Decides about requests at their entry: the route, the upstream of each attempt, and what follows
@@ -51,7 +53,24 @@
             String keyHeader,
             long bodyBytes,
             long callerDeadlineMilliseconds) {
-        throw new UnsupportedOperationException();
+        mUpstreams.update(snapshot);
+        Route route = snapshot.route(method, path);
+        if (route == null) {
+            return Decision.refused(ErrorKind.NO_ROUTE);
+        }
+        if (bodyBytes > Integer.toUnsignedLong(route.entry().getBodyLimitBytes())) {
+            return Decision.refused(ErrorKind.BODY_TOO_LARGE);
+        }
+        IdempotencyKey key = IdempotencyKey.parse(keyHeader);
+        if (keyHeader == null && route.entry().getRequireKey()) {
+            return Decision.refused(ErrorKind.KEY_REQUIRED);
+        }
+        if (keyHeader != null && (key == null || key.isFromFuture(mClock.milliseconds()))) {
+            return Decision.refused(ErrorKind.KEY_INVALID);
+        }
+        mRetryPolicy.requestStarted(route);
+        long deadline = deadlineNanoseconds(route, callerDeadlineMilliseconds);
+        return Decision.of(new EntryRequest(snapshot, route, key, deadline));
     }
 
     /**
@@ -64,7 +83,22 @@
      *     earlier attempt may have run
      */
     public Decision<Upstream> choose(EntryRequest request) {
-        throw new UnsupportedOperationException();
+        if (remainingNanoseconds(request) <= 0) {
+            return Decision.refused(truthful(request, ErrorKind.DEADLINE_BEFORE_RUN));
+        }
+        ServiceView service = request.snapshot().service(request.route().serviceId());
+        Upstream chosen;
+        if (request.key() == null) {
+            chosen = mBalancer.choose(request.snapshot(), service, request.tried());
+        } else {
+            chosen = reachableHome(service, request.key());
+        }
+        if (chosen == null) {
+            return Decision.refused(truthful(request, ErrorKind.NO_UPSTREAM));
+        }
+        request.countAttempt(chosen.id());
+        mUpstreams.attemptStarted(chosen.id());
+        return Decision.of(chosen);
     }
 
     /**
@@ -76,16 +110,98 @@
      */
     public RetryDecision afterFailure(
             EntryRequest request, Upstream upstream, AttemptFailure failure) {
-        throw new UnsupportedOperationException();
+        mUpstreams.attemptEnded(upstream.id());
+        recordFailure(upstream, failure);
+        if (!failure.kind().isNotRun()) {
+            request.markMayHaveRun();
+        }
+        long leastDelay = 0;
+        if (request.key() != null) {
+            leastDelay = TimeUnit.MILLISECONDS.toNanos(failure.retryAfterMilliseconds());
+        }
+        long delay = RetryPolicy.NO_RETRY;
+        if (mayAttemptAgain(request, failure)) {
+            delay =
+                    mRetryPolicy.nextDelayNanoseconds(
+                            request.route(),
+                            request.attempts(),
+                            leastDelay,
+                            remainingNanoseconds(request));
+        }
+        if (delay != RetryPolicy.NO_RETRY) {
+            return RetryDecision.retryAfter(delay);
+        }
+        return RetryDecision.answer(
+                truthful(request, failure.kind()), failure.retryAfterMilliseconds());
     }
 
     /** Records that an attempt brought a whole answer. */
     public void succeeded(EntryRequest request, Upstream upstream) {
-        throw new UnsupportedOperationException();
+        mUpstreams.attemptEnded(upstream.id());
+        mUpstreams.reportSuccess(upstream.id());
     }
 
     /** Records that an attempt ended without result because the caller or the deadline ended it. */
     public void abandoned(EntryRequest request, Upstream upstream) {
-        throw new UnsupportedOperationException();
+        mUpstreams.attemptEnded(upstream.id());
+    }
+
+    private void recordFailure(Upstream upstream, AttemptFailure failure) {
+        switch (failure.kind()) {
+            case LEAVING:
+                mUpstreams.markLeaving(upstream.id());
+                break;
+            case UPSTREAM_FAILED:
+            case NO_UPSTREAM:
+                mUpstreams.reportFailure(upstream.id());
+                break;
+            default:
+                break;
+        }
+    }
+
+    /**
+     * Returns whether another attempt cannot run the request twice. A target crash, reported by the
+     * home as UPSTREAM_FAILED, is never followed by another attempt, because the request may be the
+     * cause.
+     */
+    private static boolean mayAttemptAgain(EntryRequest request, AttemptFailure failure) {
+        if (failure.kind().isNotRun()) {
+            return failure.kind().isRetryableElsewhere();
+        }
+        return failure.linkLost() && request.route().isIdempotent() && request.key() == null;
+    }
+
+    /** Returns the kind to answer, which says "not run" only if no attempt may have run. */
+    private static ErrorKind truthful(EntryRequest request, ErrorKind kind) {
+        if (request.mayHaveRun() && (kind.isNotRun() || kind == ErrorKind.UPSTREAM_FAILED)) {
+            if (kind == ErrorKind.DEADLINE_BEFORE_RUN) {
+                return ErrorKind.DEADLINE_EXCEEDED;
+            }
+            return request.route().isIdempotent()
+                    ? ErrorKind.UPSTREAM_FAILED
+                    : ErrorKind.OUTCOME_UNKNOWN;
+        }
+        if (kind == ErrorKind.NO_UPSTREAM && request.key() != null) {
+            return ErrorKind.HOME_UNAVAILABLE;
+        }
+        return kind;
+    }
+
+    private Upstream reachableHome(ServiceView service, IdempotencyKey key) {
+        Upstream home = service.homeOf(key);
+        return home == null || mUpstreams.isUnreachable(home.id()) ? null : home;
+    }
+
+    private long deadlineNanoseconds(Route route, long callerDeadlineMilliseconds) {
+        long milliseconds = Integer.toUnsignedLong(route.entry().getDeadlineMilliseconds());
+        if (callerDeadlineMilliseconds > 0) {
+            milliseconds = Math.min(milliseconds, callerDeadlineMilliseconds);
+        }
+        return mClock.ticker().nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
+    }
+
+    private long remainingNanoseconds(EntryRequest request) {
+        return request.deadlineNanoseconds() - mClock.ticker().nanoTime();
     }
 }
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/LoadDecaySystem.java
@@ -0,0 +1,42 @@
+package org.foxtailmoor.core.routing;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Moves loads older than 1 s towards the mean of the service, because an old report says little
+ * about the load now.
+ */
+final class LoadDecaySystem implements UpstreamSystem {
+    static final long FRESH_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    private static final double HALF_LIFE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+
+    @Override
+    public void run(ServiceRows service, long nowNanoseconds) {
+        double sum = 0;
+        int known = 0;
+        for (UpstreamRow row : service.mRows) {
+            if (row.mHasLoad) {
+                sum += row.mReportedLoad;
+                known++;
+            }
+        }
+        service.mMeanLoad = known == 0 ? 0 : sum / known;
+        for (UpstreamRow row : service.mRows) {
+            decay(row, service.mMeanLoad, nowNanoseconds);
+        }
+    }
+
+    private static void decay(UpstreamRow row, double mean, long nowNanoseconds) {
+        if (!row.mHasLoad) {
+            row.mDecayedLoad = mean;
+            return;
+        }
+        long staleNanoseconds = nowNanoseconds - row.mReportedNanoseconds - FRESH_NANOSECONDS;
+        if (staleNanoseconds <= 0) {
+            row.mDecayedLoad = row.mReportedLoad;
+            return;
+        }
+        double kept = Math.pow(0.5, staleNanoseconds / HALF_LIFE_NANOSECONDS);
+        row.mDecayedLoad = mean + (row.mReportedLoad - mean) * kept;
+    }
+}
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
@@ -1,12 +1,24 @@
 package org.foxtailmoor.core.routing;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeSet;
 import org.foxtailmoor.catalogue.CatalogueSnapshot;
+import org.foxtailmoor.catalogue.Definition;
+import org.foxtailmoor.protocol.DocumentVersions;
+import org.foxtailmoor.protocol.generated.ClassEntry;
 import org.foxtailmoor.protocol.generated.DocumentVersion;
 import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.LimitEntry;
+import org.foxtailmoor.protocol.generated.RetryEntry;
+import org.foxtailmoor.protocol.generated.RouteEntry;
 
 /**
  * Routes of one catalogue version with the upstreams of one version of the instance list.
@@ -16,7 +28,38 @@
  * that match it have no route, rather than the route of a shorter prefix.
  */
 public final class RoutingSnapshot implements Versioned<RoutingSnapshot> {
-    private RoutingSnapshot() {}
+    private final DocumentVersion mCatalogueVersion;
+    private final DocumentVersion mInstancesVersion;
+    private final Map<String, ServiceView> mServices = new HashMap<>();
+    private final Map<String, Route> mRoutes = new HashMap<>();
+    private final Map<String, List<String>> mFallbackRegions = new HashMap<>();
+    private final Set<String> mIncompleteRoutes = new TreeSet<>();
+    private final RouteTree mTree = new RouteTree();
+
+    private RoutingSnapshot(
+            CatalogueSnapshot catalogue, DocumentVersion instancesVersion, List<Upstream> all) {
+        mCatalogueVersion = catalogue.version();
+        mInstancesVersion = instancesVersion;
+        Map<String, List<Upstream>> byService = new HashMap<>();
+        for (Upstream upstream : all) {
+            byService.computeIfAbsent(upstream.serviceId(), id -> new ArrayList<>()).add(upstream);
+        }
+        catalogue
+                .services()
+                .forEach(
+                        (id, service) ->
+                                mServices.put(
+                                        id,
+                                        ServiceView.of(
+                                                service, byService.getOrDefault(id, List.of()))));
+        catalogue
+                .regions()
+                .forEach(
+                        (id, region) ->
+                                mFallbackRegions.put(
+                                        id, List.copyOf(region.body().getFallbackRegionsList())));
+        catalogue.routes().values().forEach(definition -> addRoute(catalogue, definition));
+    }
 
     /**
      * Builds a snapshot.
@@ -29,17 +72,22 @@
             CatalogueSnapshot catalogue,
             DocumentVersion instancesVersion,
             Collection<Instance> instances) {
-        throw new UnsupportedOperationException();
+        List<Upstream> upstreams = new ArrayList<>(instances.size());
+        for (Instance instance : instances) {
+            upstreams.add(Upstream.of(instance));
+        }
+        upstreams.sort(Comparator.comparing(Upstream::id));
+        return new RoutingSnapshot(catalogue, instancesVersion, upstreams);
     }
 
     /** Returns the version of the catalogue. */
     public DocumentVersion catalogueVersion() {
-        throw new UnsupportedOperationException();
+        return mCatalogueVersion;
     }
 
     /** Returns the version of the instance list. */
     public DocumentVersion instancesVersion() {
-        throw new UnsupportedOperationException();
+        return mInstancesVersion;
     }
 
     /**
@@ -50,36 +98,67 @@
      * @param path request path, not null; a query after {@code ?} is ignored
      */
     public Route route(String method, String path) {
-        throw new UnsupportedOperationException();
+        return mTree.find(method, path);
     }
 
     /** Returns the route with an id, or null if the snapshot has no such route. */
     public Route routeById(String id) {
-        throw new UnsupportedOperationException();
+        return mRoutes.get(id);
     }
 
     /** Returns the service with an id, or null if the catalogue has none. */
     public ServiceView service(String id) {
-        throw new UnsupportedOperationException();
+        return mServices.get(id);
     }
 
     /** Returns the services by id, unmodifiable. */
     public Map<String, ServiceView> services() {
-        throw new UnsupportedOperationException();
+        return Collections.unmodifiableMap(mServices);
     }
 
     /** Returns the fallback regions of a region in order, empty for an unknown region. */
     public List<String> fallbackRegions(String region) {
-        throw new UnsupportedOperationException();
+        return mFallbackRegions.getOrDefault(region, List.of());
     }
 
     /** Returns the ids of routes that were left out because a reference is missing. */
     public Set<String> incompleteRoutes() {
-        throw new UnsupportedOperationException();
+        return Collections.unmodifiableSet(mIncompleteRoutes);
     }
 
+    /**
+     * Returns whether neither document is older than that of the other snapshot and at least one is
+     * newer.
+     */
     @Override
     public boolean isNewerThan(RoutingSnapshot other) {
-        throw new UnsupportedOperationException();
+        int catalogue = DocumentVersions.compare(mCatalogueVersion, other.mCatalogueVersion);
+        int instances = DocumentVersions.compare(mInstancesVersion, other.mInstancesVersion);
+        return catalogue >= 0 && instances >= 0 && (catalogue > 0 || instances > 0);
+    }
+
+    private void addRoute(CatalogueSnapshot catalogue, Definition<RouteEntry> definition) {
+        RouteEntry entry = definition.body();
+        ServiceView service = mServices.get(entry.getServiceId());
+        Definition<ClassEntry> requestClass = catalogue.classes().get(definition.classId());
+        Definition<LimitEntry> limit = catalogue.limits().get(entry.getLimitId());
+        Definition<RetryEntry> retry = catalogue.retries().get(entry.getRetryId());
+        boolean complete =
+                service != null
+                        && requestClass != null
+                        && isResolved(catalogue.limits(), entry.getLimitId())
+                        && isResolved(catalogue.retries(), entry.getRetryId());
+        Route route = null;
+        if (complete) {
+            route = new Route(definition, service.definition(), requestClass, limit, retry);
+            mRoutes.put(route.id(), route);
+        } else {
+            mIncompleteRoutes.add(definition.id());
+        }
+        mTree.add(entry.getMethod(), entry.getPathPrefix(), route);
+    }
+
+    private static boolean isResolved(SortedMap<String, ?> entries, String id) {
+        return id.isEmpty() || entries.containsKey(id);
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
@@ -1,14 +1,28 @@
 package org.foxtailmoor.core.routing;
 
 import io.netty.util.concurrent.Ticker;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.protocol.generated.Load;
 
 /**
  * Holds what the entry knows about each upstream: load, failures, leaving marks and link state.
- * Belongs to the data loop.
+ * Belongs to the data loop. Reports about an unknown id are ignored.
  */
 public final class UpstreamTable {
-    private UpstreamTable(Ticker ticker) {}
+    private final Ticker mTicker;
+    private final List<UpstreamSystem> mSystems =
+            List.of(new LoadDecaySystem(), new SlowStartSystem(), new AvoidanceSystem());
+    private Map<String, UpstreamRow> mRows = new HashMap<>();
+    private Map<String, ServiceRows> mServices = new HashMap<>();
+    private RoutingSnapshot mSnapshot;
+
+    private UpstreamTable(Ticker ticker) {
+        mTicker = Objects.requireNonNull(ticker, "ticker");
+    }
 
     /** Creates an empty table on a ticker, which must not be null. */
     public static UpstreamTable of(Ticker ticker) {
@@ -17,67 +31,152 @@
 
     /**
      * Adds rows for new upstreams and removes rows of those that left the snapshot. Upstreams of
-     * the first update count as warm; later ones get slow start.
+     * the first update count as warm; later ones get slow start. A snapshot that is not newer than
+     * the last one has no effect.
+     *
+     * @param snapshot snapshot in force, not null
      */
     public void update(RoutingSnapshot snapshot) {
-        throw new UnsupportedOperationException();
+        if (snapshot == mSnapshot || (mSnapshot != null && !snapshot.isNewerThan(mSnapshot))) {
+            return;
+        }
+        boolean first = mSnapshot == null;
+        mSnapshot = snapshot;
+        Map<String, UpstreamRow> rows = new HashMap<>();
+        Map<String, ServiceRows> services = new HashMap<>();
+        long now = mTicker.nanoTime();
+        for (ServiceView view : snapshot.services().values()) {
+            ServiceRows service = new ServiceRows();
+            int slowStart = view.definition().body().getSlowStartMilliseconds();
+            service.mSlowStartNanoseconds = TimeUnit.MILLISECONDS.toNanos(slowStart);
+            int slots = view.definition().body().getSlots();
+            for (Upstream upstream : view.upstreams()) {
+                UpstreamRow row = mRows.get(upstream.id());
+                if (row == null) {
+                    row = new UpstreamRow(upstream.id(), slots, now, first);
+                }
+                rows.put(row.mId, row);
+                service.mRows.add(row);
+            }
+            services.put(view.id(), service);
+        }
+        mRows = rows;
+        mServices = services;
+        tick();
     }
 
-    /** Runs the systems over all rows: load decay, service means and slow start. */
+    /** Runs the systems over all rows: load decay, slow start and the end of avoidance. */
     public void tick() {
-        throw new UnsupportedOperationException();
+        long now = mTicker.nanoTime();
+        for (ServiceRows service : mServices.values()) {
+            for (UpstreamSystem system : mSystems) {
+                system.run(service, now);
+            }
+        }
     }
 
-    /** Records the load that an answer or refusal carried. An unknown id is ignored. */
+    /** Records the load that an answer or refusal carried. A load without slots is ignored. */
     public void reportLoad(String id, Load load) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row == null || load.getSlots() <= 0) {
+            return;
+        }
+        row.mHasLoad = true;
+        row.mSlots = load.getSlots();
+        row.mReportedLoad = (double) (load.getRunning() + load.getQueued()) / row.mSlots;
+        row.mDecayedLoad = row.mReportedLoad;
+        row.mReportedNanoseconds = mTicker.nanoTime();
+        row.mOutstandingAtReport = row.mOutstanding;
     }
 
     /** Records a failure, after which the upstream is avoided for a time that grows. */
     public void reportFailure(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            AvoidanceSystem.failed(row, mTicker.nanoTime());
+        }
     }
 
     /** Records a success, which ends the avoidance after failures. */
     public void reportSuccess(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            row.mFailures = 0;
+            row.mAvoided = false;
+        }
     }
 
-    /** Marks an upstream that said GoingAway or refused as LEAVING. */
+    /**
+     * Marks an upstream that said GoingAway or refused as LEAVING. The mark ends after 35 s, or
+     * when a new link to the upstream opens.
+     */
     public void markLeaving(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            AvoidanceSystem.leaving(row, mTicker.nanoTime());
+        }
     }
 
     /** Records the state of the link to an upstream; FAILED also counts as a failure. */
     public void setLinkState(String id, LinkState state) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row == null) {
+            return;
+        }
+        if (state == LinkState.OPEN && row.mLinkState != LinkState.OPEN) {
+            row.mLeaving = false;
+            row.mAvoided = false;
+        }
+        row.mLinkState = state;
+        if (state == LinkState.FAILED) {
+            reportFailure(id);
+        }
     }
 
     /** Returns the state of the link to an upstream, {@link LinkState#UNOPENED} if unknown. */
     public LinkState linkState(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        return row == null ? LinkState.UNOPENED : row.mLinkState;
+    }
+
+    /** Returns whether the link to an upstream failed and may be tried again only later. */
+    public boolean isUnreachable(String id) {
+        UpstreamRow row = mRows.get(id);
+        return row != null && row.mLinkState == LinkState.FAILED && row.mAvoided;
     }
 
     /** Counts an attempt that this entry has sent to an upstream. */
     public void attemptStarted(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            row.mOutstanding++;
+        }
     }
 
     /** Counts the end of an attempt that this entry has sent to an upstream. */
     public void attemptEnded(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        if (row != null && row.mOutstanding > 0) {
+            row.mOutstanding--;
+        }
     }
 
     /**
      * Returns the expected load of an upstream as a share of its slots, at least 0; the mean of its
-     * service if no load is known.
+     * service if no load is known, and 0 for an unknown id.
      */
     public double load(String id) {
-        throw new UnsupportedOperationException();
+        UpstreamRow row = mRows.get(id);
+        return row == null ? 0 : row.load();
     }
 
     /** Returns the number of rows. */
     public int size() {
-        throw new UnsupportedOperationException();
+        return mRows.size();
+    }
+
+    /** Returns the row of an upstream, or null if the last update did not contain it. */
+    UpstreamRow row(String id) {
+        return mRows.get(id);
     }
 }
