Implement the distribution of documents

Each mechanism is one system over the tables of the engine: push along two trees, fetch, exchange, source reading, start, lease and crash reports. Not tested yet.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ControlOutbox.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ControlOutbox.java
@@ -12,4 +12,13 @@
      * @param message message, not null
      */
     void send(String peerId, ControlMessage message);
+
+    /**
+     * Closes the connection to a peer, if there is one; the next message opens a new one. It is
+     * called for a connection that went silent and for one that is not needed any more. The default
+     * does nothing.
+     *
+     * @param peerId id of the peer
+     */
+    default void close(String peerId) {}
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionEngine.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionEngine.java
@@ -3,6 +3,7 @@
 import io.netty.util.concurrent.Ticker;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.foxtailmoor.protocol.Document;
 import org.foxtailmoor.protocol.generated.ControlMessage;
@@ -36,10 +37,30 @@
     /** Sender that is given for documents read from the configuration service. */
     public static final String FROM_SOURCE = "source";
 
-    private final Instance mSelf;
+    private final EngineContext mContext;
+    private final DistributionState mState;
+    private final PushSystem mPush;
+    private final UpdateSystem mUpdates;
+    private final ExchangeSystem mExchange;
+    private final StartSystem mStart;
+    private final SourceSystem mSource;
+    private final LeaseSystem mLease;
+    private final CrashReportSystem mCrashReports;
+    private final AdvertReceiver mReceiver;
 
-    private DistributionEngine(Builder builder) {
-        mSelf = Objects.requireNonNull(builder.mSelf, "self");
+    private DistributionEngine(EngineContext context) {
+        mContext = context;
+        mState = new DistributionState(context);
+        CrashReportTable reports = new CrashReportTable();
+        AdvertWriter adverts = new AdvertWriter(context, mState, reports);
+        mPush = new PushSystem(context, mState, adverts);
+        mUpdates = new UpdateSystem(context, mState, mPush, this::documentChanged);
+        mExchange = new ExchangeSystem(context, mState, adverts);
+        mStart = new StartSystem(context, mState, adverts);
+        mSource = new SourceSystem(context, mState, mStart, mUpdates);
+        mLease = new LeaseSystem(context, mState, adverts);
+        mCrashReports = new CrashReportSystem(context, mState, reports, adverts);
+        mReceiver = new AdvertReceiver(context, mState, adverts, mStart, mLease, mCrashReports);
     }
 
     /** Returns a builder without values. */
@@ -53,7 +74,9 @@
      *
      * @param peerId id that the outbox can send to, not null
      */
-    public void addSeed(String peerId) {}
+    public void addSeed(String peerId) {
+        mState.addSeed(Objects.requireNonNull(peerId, "peerId"));
+    }
 
     /**
      * Handles a message of a peer.
@@ -61,20 +84,38 @@
      * @param peerId id of the peer, as given to the outbox or as stated by the peer
      * @param message message, not null
      */
-    public void onMessage(String peerId, ControlMessage message) {}
+    public void onMessage(String peerId, ControlMessage message) {
+        mState.peers().use(mState.instanceIdOf(peerId), mContext.now()).heard(mContext.now());
+        switch (message.getKindCase()) {
+            case ADVERT -> mReceiver.receive(peerId, message.getAdvert());
+            case UPDATE -> mUpdates.receive(peerId, message.getUpdate());
+            case FETCH -> mUpdates.serve(peerId, message.getFetch());
+            case BUSY -> mUpdates.receiveBusy(message.getBusy());
+            default -> {
+                // A kind of a later program version; there is nothing to do for it.
+            }
+        }
+    }
 
     /** Takes notice that a connection to or from a peer is open. */
-    public void onPeerConnected(String peerId) {}
+    public void onPeerConnected(String peerId) {
+        mState.peers().use(mState.instanceIdOf(peerId), mContext.now()).setConnected(true);
+    }
 
     /** Takes notice that the connection to a peer has ended or could not be opened. */
-    public void onPeerDisconnected(String peerId) {}
+    public void onPeerDisconnected(String peerId) {
+        Peer peer = mState.peers().find(mState.instanceIdOf(peerId));
+        if (peer != null) {
+            peer.setConnected(false);
+        }
+    }
 
     /**
      * Returns how to use the configuration service for a topic now. {@link SourceRole#POLL} is
      * answered once per takeover token; the caller then reads once. Ask about every 100 ms.
      */
     public SourceRole sourceRole(Topic topic) {
-        return SourceRole.NONE;
+        return mSource.role(topic);
     }
 
     /**
@@ -83,50 +124,76 @@
      * @param topic topic of the document
      * @param document document as read, not null
      */
-    public void onSourceRead(Topic topic, Document document) {}
+    public void onSourceRead(Topic topic, Document document) {
+        mSource.read(topic, document);
+    }
 
     /** Takes notice that the source answered and has nothing newer than the last read. */
-    public void onSourceUnchanged(Topic topic) {}
+    public void onSourceUnchanged(Topic topic) {
+        mSource.unchanged(topic);
+    }
 
     /** Takes notice that the source did not answer, or not with a whole document. */
-    public void onSourceFailed(Topic topic) {}
+    public void onSourceFailed(Topic topic) {
+        mSource.failed(topic);
+    }
 
     /** Returns the document in force, {@link Document#EMPTY} before the first. */
     public Document document(Topic topic) {
-        return Document.EMPTY;
+        return mState.topic(topic).document();
     }
 
     /** Returns the instances of the list in force sorted by id, unmodifiable. */
     public List<Instance> instances() {
-        return List.of();
+        return mState.fleet().instances();
     }
 
     /** Runs what is due. Call it every 100 ms. */
-    public void onTick() {}
+    public void onTick() {
+        mStart.onTick();
+        mUpdates.onTick();
+        mExchange.onTick();
+        mLease.onTick();
+        mCrashReports.onTick();
+    }
 
     /** Returns whether the start has finished, so that the node may serve. Stays true. */
     public boolean isReady() {
-        return false;
+        return mState.isReady();
     }
 
     /** Returns the lease of the node's own service. */
     public ViewLease viewLease() {
-        return ViewLease.NONE;
+        return mLease.lease();
     }
 
     /** Tells peers that the node is leaving, and hands its tree children what they lack. */
-    public void startLeaving() {}
+    public void startLeaving() {
+        if (!mState.isLeaving()) {
+            mState.setLeaving();
+            mPush.handOver();
+        }
+    }
 
     /**
      * Spreads a crash count of the node's own service.
      *
      * @param report report, not null; replaces an earlier one with the same fingerprint
      */
-    public void reportCrash(CrashReport report) {}
+    public void reportCrash(CrashReport report) {
+        mCrashReports.report(report);
+    }
 
     /** Returns the state at this moment. */
     public DistributionStatus status() {
-        return new DistributionStatus(false, false, List.of(), List.of());
+        return StatusWriter.write(mState, mContext.now());
+    }
+
+    private void documentChanged(Topic topic) {
+        if (topic == Topic.TOPIC_INSTANCES) {
+            mSource.fleetChanged();
+        }
+        mLease.documentsChanged();
     }
 
     /** Builds an engine. Every value but the settings is required. */
@@ -138,6 +205,7 @@
         private DistributionSettings mSettings = DistributionSettings.DEFAULT;
         private ControlOutbox mOutbox;
         private DocumentListener mListener;
+        private Function<Document, Topology> mTopologyFactory = Topology::of;
 
         private Builder() {}
 
@@ -183,18 +251,30 @@
             return this;
         }
 
+        /**
+         * Sets what derives the orders of an instance list, so that many engines can share them.
+         */
+        Builder topologyFactory(Function<Document, Topology> factory) {
+            mTopologyFactory = factory;
+            return this;
+        }
+
         /**
          * Returns the engine.
          *
          * @throws NullPointerException if a value is missing
          */
         public DistributionEngine build() {
-            Objects.requireNonNull(mTicker, "ticker");
-            Objects.requireNonNull(mRandom, "random");
-            Objects.requireNonNull(mSettings, "settings");
-            Objects.requireNonNull(mOutbox, "outbox");
-            Objects.requireNonNull(mListener, "listener");
-            return new DistributionEngine(this);
+            return new DistributionEngine(
+                    new EngineContext(
+                            mSelf,
+                            mIncarnation,
+                            mTicker,
+                            mRandom,
+                            mSettings,
+                            mOutbox,
+                            mListener,
+                            mTopologyFactory));
         }
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionStatus.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionStatus.java
@@ -31,7 +31,7 @@
      *     the first version
      * @param sourceAgeMilliseconds time since any reader read the source, as far as known; -1 if
      *     unknown
-     * @param newestHeard highest version that a peer or the source stated, valid or not
+     * @param newestHeard highest version that a peer or the source stated and that was not refused
      * @param refused refused versions, the latest last
      * @param conflict two versions with one number, if seen
      * @param sourceBehind whether the last read of the source returned an older version than the
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/EngineContext.java
@@ -0,0 +1,43 @@
+package org.foxtailmoor.core.distribution;
+
+import io.netty.util.concurrent.Ticker;
+import java.util.Objects;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.foxtailmoor.protocol.Document;
+import org.foxtailmoor.protocol.generated.Instance;
+
+/**
+ * What the systems of one engine share and do not change.
+ *
+ * @param topologyFactory derives the orders of an instance list; throws {@link
+ *     IllegalArgumentException} for an invalid one
+ */
+record EngineContext(
+        Instance self,
+        long incarnation,
+        Ticker ticker,
+        RandomGenerator random,
+        DistributionSettings settings,
+        ControlOutbox outbox,
+        DocumentListener listener,
+        Function<Document, Topology> topologyFactory) {
+    EngineContext {
+        Objects.requireNonNull(self, "self");
+        Objects.requireNonNull(ticker, "ticker");
+        Objects.requireNonNull(random, "random");
+        Objects.requireNonNull(settings, "settings");
+        Objects.requireNonNull(outbox, "outbox");
+        Objects.requireNonNull(listener, "listener");
+        Objects.requireNonNull(topologyFactory, "topologyFactory");
+    }
+
+    long now() {
+        return ticker.nanoTime();
+    }
+
+    /** Returns a random time from 0 to a bound in milliseconds, in nanoseconds. */
+    long jitterNanoseconds(long boundMilliseconds) {
+        return (long) (random.nextDouble() * Milliseconds.toNanoseconds(boundMilliseconds));
+    }
+}
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/PushSystem.java
@@ -0,0 +1,152 @@
+package org.foxtailmoor.core.distribution;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.foxtailmoor.protocol.Document;
+import org.foxtailmoor.protocol.DocumentVersions;
+import org.foxtailmoor.protocol.generated.ControlMessage;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.Update;
+
+/** Forwards a version that came into force: content along tree A, notice of it along tree B. */
+final class PushSystem {
+    private final EngineContext mContext;
+    private final DistributionState mState;
+    private final AdvertWriter mAdverts;
+
+    PushSystem(EngineContext context, DistributionState state, AdvertWriter adverts) {
+        mContext = context;
+        mState = state;
+        mAdverts = adverts;
+    }
+
+    /** Receivers of one version; a node that gets the content gets no advert. */
+    private static final class Targets {
+        private final Set<String> mUpdates = new LinkedHashSet<>();
+        private final Set<String> mAdverts = new LinkedHashSet<>();
+    }
+
+    /**
+     * Forwards the version in force.
+     *
+     * @param previous version that was in force before; the base of the delta
+     * @param from sender of the version
+     */
+    void push(TopicRecord record, Document previous, String from) {
+        Targets targets = targets(from);
+        targets.mAdverts.removeAll(targets.mUpdates);
+        if (previous == Document.EMPTY) {
+            // The first version is a whole document. Peers that lack it too ask for it, instead of
+            // every starting node sending it to children that have it.
+            targets.mAdverts.addAll(targets.mUpdates);
+            targets.mUpdates.clear();
+        }
+        Update update = null;
+        for (String peerId : targets.mUpdates) {
+            if (needs(peerId, record, from)) {
+                update = update == null ? write(record, previous) : update;
+                send(peerId, update);
+            }
+        }
+        for (String peerId : targets.mAdverts) {
+            if (needs(peerId, record, from)) {
+                mAdverts.tell(peerId, List.of(record.topic()));
+            }
+        }
+    }
+
+    /** Sends the children in tree A what they are known to lack, and tells all that it leaves. */
+    void handOver() {
+        String self = mContext.self().getId();
+        Set<String> told = new LinkedHashSet<>(childrenOf(Tree.A));
+        told.addAll(childrenOf(Tree.B));
+        mState.peers().list().forEach(peer -> told.add(peer.id()));
+        told.remove(self);
+        for (String peerId : childrenOf(Tree.A)) {
+            Peer peer = mState.peers().find(peerId);
+            for (var topic : DistributionState.TOPICS) {
+                TopicRecord record = mState.topic(topic);
+                if (peer != null && needs(peerId, record, self)) {
+                    record.history()
+                            .find(peer.version(topic))
+                            .ifPresent(base -> send(peerId, write(record, base)));
+                }
+            }
+        }
+        told.forEach(peerId -> mAdverts.tell(peerId, DistributionState.TOPICS));
+    }
+
+    private Targets targets(String from) {
+        Targets targets = new Targets();
+        targets.mUpdates.addAll(childrenOf(Tree.A));
+        targets.mAdverts.addAll(childrenOf(Tree.B));
+        String self = mContext.self().getId();
+        String region = mContext.self().getRegion();
+        Topology topology = mState.topology();
+        String firstZone = topology.firstZoneOf(region);
+        boolean fromSource = from.equals(DistributionEngine.FROM_SOURCE);
+        if (mState.isReader() || fromSource || self.equals(topology.rootOf(Tree.A, firstZone))) {
+            addZoneRoots(region, targets.mUpdates, targets.mAdverts);
+        }
+        if (self.equals(topology.rootOf(Tree.B, firstZone))) {
+            addZoneRoots(region, targets.mAdverts, targets.mAdverts);
+        }
+        addOtherRegions(targets, fromSource);
+        return targets;
+    }
+
+    private void addZoneRoots(String region, Set<String> rootsA, Set<String> rootsB) {
+        Topology topology = mState.topology();
+        for (String zone : topology.fleet().zonesOf(region)) {
+            rootsA.add(topology.rootOf(Tree.A, zone));
+            rootsB.add(topology.rootOf(Tree.B, zone));
+        }
+    }
+
+    private void addOtherRegions(Targets targets, boolean fromSource) {
+        int rank = mState.isReader() ? mState.readerRank() : Integer.MAX_VALUE;
+        boolean takeover = fromSource && !mState.isReader();
+        if (rank > 1 && !takeover) {
+            return;
+        }
+        Topology topology = mState.topology();
+        for (String region : topology.fleet().regions()) {
+            if (!region.equals(mContext.self().getRegion())) {
+                String zone = topology.firstZoneOf(region);
+                String regionRoot = topology.rootOf(Tree.A, zone);
+                if (rank == 0) {
+                    targets.mUpdates.add(regionRoot);
+                } else {
+                    targets.mAdverts.add(regionRoot);
+                    targets.mAdverts.add(topology.rootOf(Tree.B, zone));
+                }
+            }
+        }
+    }
+
+    private List<String> childrenOf(Tree tree) {
+        Instance self = mContext.self();
+        return mState.topology()
+                .childrenOf(tree, self.getZone(), self.getId(), mContext.settings().fanOut());
+    }
+
+    private boolean needs(String peerId, TopicRecord record, String from) {
+        if (peerId.equals(mContext.self().getId()) || peerId.equals(from)) {
+            return false;
+        }
+        Peer peer = mState.peers().find(peerId);
+        return peer == null
+                || DocumentVersions.compare(peer.version(record.topic()), record.version()) < 0;
+    }
+
+    private Update write(TopicRecord record, Document base) {
+        return Updates.write(record.topic(), base, record.document()).toBuilder()
+                .setSourceAgeMilliseconds(record.sourceAge().stated(mContext.now()))
+                .build();
+    }
+
+    private void send(String peerId, Update update) {
+        mContext.outbox().send(peerId, ControlMessage.newBuilder().setUpdate(update).build());
+    }
+}
