--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/LeaseSystem.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/LeaseSystem.java
@@ -1,16 +1,11 @@
 package org.foxtailmoor.core.distribution;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import org.foxtailmoor.base.RendezvousHash;
 import org.foxtailmoor.protocol.DocumentVersions;
 import org.foxtailmoor.protocol.generated.DocumentVersion;
-import org.foxtailmoor.protocol.generated.Instance;
 import org.foxtailmoor.protocol.generated.Topic;
 
 /**
@@ -24,16 +19,6 @@
     /** Time for which a confirmation counts. */
     static final long LEASE_NANOSECONDS = Milliseconds.toNanoseconds(3_000);
 
-    /**
-     * Size to which other instances fill the group. It is even, because one change of the list may
-     * exchange one filling member for another: majorities of two such groups overlap only if their
-     * size is even (4 + 4 of 7, but 3 + 3 of 6).
-     */
-    static final int SMALLEST_GROUP = 6;
-
-    /** Largest group, even for the same reason; it bounds the control bytes of large services. */
-    static final int LARGEST_GROUP = 16;
-
     // In this time the node asks as many members as it needs, so that a lease is renewed about
     // twice before it ends.
     private static final long ROUND_NANOSECONDS = Milliseconds.toNanoseconds(1_500);
@@ -42,7 +27,7 @@
     private final DistributionState mState;
     private final AdvertWriter mAdverts;
     private final Map<String, Long> mConfirmations = new HashMap<>();
-    private Set<String> mMembers = Set.of();
+    private LeaseGroup mGroup = LeaseGroup.EMPTY;
     private List<String> mOthers = List.of();
     private boolean mMember;
     private int mNeeded;
@@ -51,6 +36,7 @@
     private long mNextAskNanoseconds;
     private boolean mConfirmed;
     private long mConfirmedSinceNanoseconds;
+    private long mHeldUntilNanoseconds;
     private ViewLease mLease = ViewLease.NONE;
 
     LeaseSystem(EngineContext context, DistributionState state, AdvertWriter adverts) {
@@ -66,18 +52,18 @@
 
     /** Derives the group again after a document came into force. */
     void documentsChanged() {
-        Set<String> members = members();
-        if (!members.equals(mMembers)) {
-            mMembers = members;
+        String self = mContext.self().getId();
+        String homeRegion = mState.facts().homeRegion();
+        LeaseGroup group =
+                LeaseGroup.of(mState.fleet(), mContext.self().getServiceId(), homeRegion);
+        if (!group.members().equals(mGroup.members())) {
             mConfirmed = false;
         }
-        List<String> group = group(members);
-        String self = mContext.self().getId();
-        mMember = members.contains(self);
-        int majority = group.size() / 2 + 1;
-        mNeeded = group.remove(self) ? majority - 1 : majority;
-        boolean sameGroup = group.equals(mOthers);
-        mOthers = group;
+        boolean sameGroup = group.equals(mGroup);
+        mGroup = group;
+        mMember = group.members().contains(self);
+        mOthers = new ArrayList<>(group.voters());
+        mNeeded = mOthers.remove(self) ? group.majority() - 1 : group.majority();
         boolean sameVersion = mVersion.equals(mState.instances().version());
         mVersion = mState.instances().version();
         if (sameGroup && sameVersion) {
@@ -98,10 +84,10 @@
 
     /** Takes the reply of a peer to an advert of this node. */
     void replied(String instanceId, AdvertWriter.Ask ask, boolean confirmed) {
-        if (!mOthers.contains(instanceId)) {
+        if (!mOthers.contains(instanceId) || !ask.instancesVersion().equals(mVersion)) {
             return;
         }
-        if (!confirmed || !ask.instancesVersion().equals(mVersion)) {
+        if (!confirmed) {
             mConfirmations.remove(instanceId);
         } else {
             mConfirmations.merge(instanceId, ask.sentNanoseconds(), LeaseSystem::later);
@@ -132,56 +118,26 @@
         long now = mContext.now();
         List<Long> sent = new ArrayList<>(mConfirmations.values());
         sent.sort((first, second) -> Long.compare(second - now, first - now));
-        if (!mMember || !mState.isReady() || sent.size() < mNeeded) {
-            mLease = ViewLease.NONE;
+        mLease = ViewLease.NONE;
+        if (!mMember || !confirms(mVersion) || sent.size() < mNeeded) {
             return;
         }
         long start = mNeeded == 0 ? now : sent.get(mNeeded - 1);
         long validUntil = start + LEASE_NANOSECONDS;
         if (validUntil - now <= 0) {
-            mLease = ViewLease.NONE;
             return;
         }
-        if (!mConfirmed) {
+        // While the lease lapsed, another node may have been home by a list that this one missed.
+        boolean lapsed = start - mHeldUntilNanoseconds > 0;
+        if (!mConfirmed || lapsed) {
             mConfirmed = true;
             mConfirmedSinceNanoseconds = now;
+            mHeldUntilNanoseconds = validUntil;
         }
+        mHeldUntilNanoseconds = later(mHeldUntilNanoseconds, validUntil);
         mLease = new ViewLease(mVersion, true, validUntil, mConfirmedSinceNanoseconds);
     }
 
-    private Set<String> members() {
-        Set<String> members = new LinkedHashSet<>();
-        for (Instance instance : mState.fleet().ofService(mContext.self().getServiceId())) {
-            boolean home = instance.getRegion().equals(mState.facts().homeRegion());
-            if (home && !instance.getLeaving()) {
-                members.add(instance.getId());
-            }
-        }
-        return members;
-    }
-
-    private List<String> group(Set<String> members) {
-        String serviceId = mContext.self().getServiceId();
-        if (members.size() >= SMALLEST_GROUP) {
-            List<String> ranked = RendezvousHash.rank(serviceId, members);
-            return new ArrayList<>(ranked.subList(0, Math.min(LARGEST_GROUP, ranked.size())));
-        }
-        List<String> group = new ArrayList<>(members);
-        List<String> fillers = new ArrayList<>();
-        for (Instance instance : mState.fleet().ofRegion(mState.facts().homeRegion())) {
-            if (!instance.getLeaving() && !members.contains(instance.getId())) {
-                fillers.add(instance.getId());
-            }
-        }
-        for (String filler : RendezvousHash.rank(serviceId, fillers)) {
-            if (group.size() < SMALLEST_GROUP) {
-                group.add(filler);
-            }
-        }
-        Collections.sort(group);
-        return group;
-    }
-
     private static long later(long first, long second) {
         return first - second >= 0 ? first : second;
     }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ViewLease.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ViewLease.java
@@ -12,8 +12,9 @@
  * @param held whether a majority of the lease group has confirmed the version at all
  * @param validUntilNanoseconds reading of the engine's ticker at which the lease ends
  * @param confirmedSinceNanoseconds reading at which a majority first confirmed an instance list
- *     with the present members of the service in the home region; a term cannot start earlier,
- *     because a home by the former members may hold a lease for 3 s more
+ *     with the present members of the service in the home region, and since when the lease did not
+ *     lapse; the term for a key cannot start earlier, because until then a home by another list may
+ *     have held a lease
  */
 public record ViewLease(
         DocumentVersion instancesVersion,
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/membership/Fleet.java
@@ -0,0 +1,86 @@
+package org.foxtailmoor.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.foxtailmoor.protocol.generated.Instance;
+
+/**
+ * The instances of one list by id, zone, region and service.
+ *
+ * <p>Immutable. Unknown names give empty lists.
+ */
+public final class Fleet {
+    /** Fleet without instances. */
+    public static final Fleet EMPTY = of(List.of());
+
+    private final List<Instance> mInstances;
+    private final Map<String, Instance> mById = new HashMap<>();
+    private final SortedMap<String, List<Instance>> mByZone = new TreeMap<>();
+    private final SortedMap<String, List<Instance>> mByRegion = new TreeMap<>();
+    private final Map<String, List<Instance>> mByService = new HashMap<>();
+
+    private Fleet(Collection<Instance> instances) {
+        mInstances = List.copyOf(instances);
+        for (Instance instance : mInstances) {
+            mById.put(instance.getId(), instance);
+            add(mByZone, instance.getZone(), instance);
+            add(mByRegion, instance.getRegion(), instance);
+            add(mByService, instance.getServiceId(), instance);
+        }
+    }
+
+    /** Creates a fleet; the order of the instances is kept in every list. */
+    public static Fleet of(Collection<Instance> instances) {
+        return new Fleet(instances);
+    }
+
+    /** Returns all instances, unmodifiable. */
+    public List<Instance> instances() {
+        return mInstances;
+    }
+
+    /** Returns an instance, or null if the list does not name it. */
+    public Instance find(String id) {
+        return mById.get(id);
+    }
+
+    /** Returns the instances of a zone, unmodifiable. */
+    public List<Instance> ofZone(String zone) {
+        return Collections.unmodifiableList(mByZone.getOrDefault(zone, List.of()));
+    }
+
+    /** Returns the instances of a region, unmodifiable. */
+    public List<Instance> ofRegion(String region) {
+        return Collections.unmodifiableList(mByRegion.getOrDefault(region, List.of()));
+    }
+
+    /** Returns the instances of a service, unmodifiable. */
+    public List<Instance> ofService(String serviceId) {
+        return Collections.unmodifiableList(mByService.getOrDefault(serviceId, List.of()));
+    }
+
+    /** Returns the regions that have instances, sorted by name. */
+    public List<String> regions() {
+        return List.copyOf(mByRegion.keySet());
+    }
+
+    /** Returns the zones that have instances, sorted by name. */
+    public List<String> zones() {
+        return List.copyOf(mByZone.keySet());
+    }
+
+    /** Returns the zones of a region that have instances, sorted by name. */
+    public List<String> zonesOf(String region) {
+        return ofRegion(region).stream().map(Instance::getZone).distinct().sorted().toList();
+    }
+
+    private static void add(Map<String, List<Instance>> map, String key, Instance instance) {
+        map.computeIfAbsent(key, name -> new ArrayList<>()).add(instance);
+    }
+}
