--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
@@ -31,6 +31,11 @@
      */
     protected abstract int run();
 
+    /** Returns what follows the name in the first line of the help. */
+    protected String synopsis() {
+        return "[options]";
+    }
+
     /**
      * Runs the program with its arguments and returns the exit code.
      *
@@ -42,7 +47,7 @@
         try {
             parser.parseArgument(arguments);
             if (mHelp) {
-                System.out.println("usage: " + name() + " [options]");
+                System.out.println("usage: " + name() + " " + synopsis());
                 parser.printUsage(System.out);
                 return EXIT_CODE_SUCCESS;
             }
--- /dev/null
+++ b/foxtailmoor-catalogue/src/main/java/org/foxtailmoor/catalogue/cli/CatalogueInput.java
@@ -0,0 +1,63 @@
+package org.foxtailmoor.catalogue.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.catalogue.CatalogueChecker;
+import org.foxtailmoor.catalogue.CatalogueCodec;
+import org.foxtailmoor.catalogue.CatalogueFault;
+import org.foxtailmoor.catalogue.CatalogueReader;
+import org.foxtailmoor.catalogue.CatalogueReading;
+import org.foxtailmoor.catalogue.PublishedValues;
+import org.foxtailmoor.protocol.Document;
+import org.foxtailmoor.protocol.generated.Entry;
+
+/** Reads a catalogue from an operators' file or from a directory with published values. */
+final class CatalogueInput {
+    private CatalogueInput() {}
+
+    /**
+     * Returns the entries of a valid catalogue.
+     *
+     * @param path TOML file, or directory with published values
+     * @throws FoxtailmoorException of kind CATALOGUE_INVALID that lists every fault
+     */
+    static List<Entry> readValid(Path path) {
+        if (Files.isDirectory(path)) {
+            Document document = PublishedValues.read(path);
+            requireNone(path, CatalogueChecker.check(document));
+            return CatalogueCodec.toEntries(document);
+        }
+        CatalogueReading reading = CatalogueReader.read(path);
+        requireNone(path, reading.check());
+        return reading.entries();
+    }
+
+    /**
+     * Returns the entries of a catalogue that can be read but may break the rules between entries.
+     *
+     * @param path TOML file, or directory with published values
+     * @throws FoxtailmoorException of kind CATALOGUE_INVALID if a value can't be read
+     */
+    static List<Entry> readUnchecked(Path path) {
+        if (Files.isDirectory(path)) {
+            return CatalogueCodec.toEntries(PublishedValues.read(path));
+        }
+        CatalogueReading reading = CatalogueReader.read(path);
+        requireNone(path, reading.faults());
+        return reading.entries();
+    }
+
+    private static void requireNone(Path path, List<CatalogueFault> faults) {
+        if (faults.isEmpty()) {
+            return;
+        }
+        StringBuilder message = new StringBuilder();
+        message.append(path).append(" has ").append(faults.size());
+        message.append(faults.size() == 1 ? " fault:" : " faults:");
+        faults.forEach(fault -> message.append("\n  ").append(fault));
+        throw FoxtailmoorException.of(ErrorKind.CATALOGUE_INVALID, message.toString());
+    }
+}
