Add the program foxtailmoor-status

Operators need to see which version each node has in force and whether nodes disagree for longer than the convergence limit.

--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Command.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Command.java
@@ -35,7 +35,7 @@
             return run();
         }
         CmdLineParser parser = new CmdLineParser(this);
-        parser.getProperties().withUsageWidth(USAGE_WIDTH);
+        parser.getProperties().withUsageWidth(USAGE_WIDTH).withShowDefaults(false);
         System.out.print("usage: " + programName + " " + name());
         parser.printSingleLineUsage(System.out);
         System.out.println();
--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
@@ -43,7 +43,7 @@
      */
     public final int execute(String... arguments) {
         CmdLineParser parser = new CmdLineParser(this);
-        parser.getProperties().withUsageWidth(USAGE_WIDTH);
+        parser.getProperties().withUsageWidth(USAGE_WIDTH).withShowDefaults(false);
         try {
             parser.parseArgument(arguments);
             if (mHelp) {
--- /dev/null
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/NodeAnswer.java
@@ -0,0 +1,58 @@
+package org.foxtailmoor.status;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Objects;
+
+/**
+ * Answer of one node to {@code /status}, or why there is none.
+ *
+ * @param address address that was asked
+ * @param json JSON of the answer; null if there is none
+ * @param error why there is no answer; empty if there is one
+ */
+public record NodeAnswer(NodeAddress address, JsonNode json, String error) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Checks that the address and the error are not null. */
+    public NodeAnswer {
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(error, "error");
+    }
+
+    /** Creates an answer from its body; a body that is no JSON object counts as no answer. */
+    public static NodeAnswer of(NodeAddress address, String body) {
+        try {
+            JsonNode json = JSON.readTree(body);
+            if (json.isObject()) {
+                return new NodeAnswer(address, json, "");
+            }
+        } catch (JsonProcessingException e) {
+            return ofError(address, "the answer is not JSON: " + e.getOriginalMessage());
+        }
+        return ofError(address, "the answer is not a JSON object");
+    }
+
+    /** Creates the record of an absent answer. */
+    public static NodeAnswer ofError(NodeAddress address, String error) {
+        return new NodeAnswer(address, null, error);
+    }
+
+    /** Returns whether the node answered. */
+    public boolean isPresent() {
+        return json != null;
+    }
+
+    /**
+     * Returns the state of the node.
+     *
+     * @throws IllegalStateException if the node did not answer
+     */
+    public NodeStatus status() {
+        if (json == null) {
+            throw new IllegalStateException(address + " did not answer");
+        }
+        return NodeStatus.of(json);
+    }
+}
