Test base and protocol, and refuse unusable numbers and unknown sections

A setting of nan passed every range check, an unknown section without keys was ignored, and an infinite rate left a token bucket with a count that is not a number. All three are refused now.

--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
@@ -128,7 +128,10 @@
         if (node == null) {
             return defaultOrFault(key, defaultValue, allowed, minimum);
         }
-        if (!node.isNumber() || node.asDouble() < minimum || node.asDouble() > maximum) {
+        // TOML allows nan, which compares as neither too small nor too large.
+        boolean inRange =
+                node.isNumber() && node.asDouble() >= minimum && node.asDouble() <= maximum;
+        if (!inRange) {
             addFault(key, node, allowed);
             return minimum;
         }
@@ -200,12 +203,16 @@
         mFaults.add(key + " = " + value + ": must be " + allowed);
     }
 
+    private boolean isKnownSection(String key) {
+        return mKnownKeys.stream().anyMatch(known -> known.startsWith(key + "."));
+    }
+
     private void reportUnknownKeys(String prefix, JsonNode node) {
         node.properties()
                 .forEach(
                         property -> {
                             String key = prefix + property.getKey();
-                            if (property.getValue().isObject()) {
+                            if (property.getValue().isObject() && isKnownSection(key)) {
                                 reportUnknownKeys(key + ".", property.getValue());
                             } else if (!mKnownKeys.contains(key)) {
                                 mFaults.add(key + ": unknown key");
--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/TokenBucket.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/TokenBucket.java
@@ -35,9 +35,9 @@
      * Creates a full bucket.
      *
      * @param ticker clock, not null
-     * @param tokensPerSecond rate, at least 0
-     * @param burst largest number of tokens, at least 0
-     * @throws IllegalArgumentException if a number is negative or not a number
+     * @param tokensPerSecond rate, finite and at least 0
+     * @param burst largest number of tokens, finite and at least 0
+     * @throws IllegalArgumentException if a number is negative, infinite or not a number
      */
     public static TokenBucket of(Ticker ticker, double tokensPerSecond, double burst) {
         requireNotNegative(tokensPerSecond, "tokensPerSecond");
@@ -70,8 +70,8 @@
     /**
      * Changes rate and burst; tokens above the new burst are lost.
      *
-     * @param tokensPerSecond rate, at least 0
-     * @param burst largest number of tokens, at least 0
+     * @param tokensPerSecond rate, finite and at least 0
+     * @param burst largest number of tokens, finite and at least 0
      */
     public void resize(double tokensPerSecond, double burst) {
         requireNotNegative(tokensPerSecond, "tokensPerSecond");
@@ -105,8 +105,9 @@
     }
 
     private static void requireNotNegative(double value, String name) {
-        if (!(value >= 0)) {
-            throw new IllegalArgumentException(name + " must be at least 0, is " + value);
+        if (!(value >= 0) || Double.isInfinite(value)) {
+            throw new IllegalArgumentException(
+                    name + " must be finite and at least 0, is " + value);
         }
     }
 }
--- /dev/null
+++ b/foxtailmoor-base/src/test/java/org/foxtailmoor/base/ErrorKindTest.java
@@ -0,0 +1,74 @@
+package org.foxtailmoor.base;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ErrorKindTest {
+    @Nested
+    class RequestKinds {
+        /** Guards against an answer with a wrong status or a wrong claim of "not run". */
+        @ParameterizedTest
+        @CsvSource({
+            "BAD_REQUEST,400,true",
+            "NO_ROUTE,404,true",
+            "KEY_REQUIRED,400,true",
+            "KEY_INVALID,400,true",
+            "BODY_TOO_LARGE,413,true",
+            "NOT_READY,503,true",
+            "OVERLOADED,503,true",
+            "RATE_LIMITED,429,true",
+            "LEAVING,503,true",
+            "POISONED,422,true",
+            "HOME_UNAVAILABLE,503,true",
+            "NO_UPSTREAM,503,true",
+            "DEADLINE_BEFORE_RUN,504,true",
+            "DEADLINE_EXCEEDED,504,false",
+            "UPSTREAM_FAILED,502,false",
+            "OUTCOME_UNKNOWN,409,false",
+            "ALREADY_RUN,409,false",
+            "CANCELLED,499,false",
+            "INTERNAL,500,false"
+        })
+        void haveTheStatusAndOutcomeOfTheDesign(ErrorKind kind, int status, boolean notRun) {
+            assertThat(kind.status()).isEqualTo(status);
+            assertThat(kind.isNotRun()).isEqualTo(notRun);
+            assertThat(kind.exitCode()).isEqualTo(1);
+        }
+
+        /** Guards against a second attempt of a request that may have run. */
+        @Test
+        void areRetryableOnlyIfNotRun() {
+            assertThat(ErrorKind.values())
+                    .filteredOn(ErrorKind::isRetryableElsewhere)
+                    .isNotEmpty()
+                    .allMatch(ErrorKind::isNotRun);
+        }
+    }
+
+    @Nested
+    class ProgramKinds {
+        /** Guards against scripts that mistake one failure for another. */
+        @Test
+        void haveDistinctExitCodesFromTwoToSeven() {
+            assertThat(Arrays.stream(ErrorKind.values()).map(ErrorKind::exitCode).distinct())
+                    .containsExactly(1, 2, 3, 4, 5, 6, 7);
+            assertThat(ErrorKind.USAGE.exitCode()).isEqualTo(2);
+            assertThat(ErrorKind.DISAGREEMENT.exitCode()).isEqualTo(7);
+        }
+    }
+
+    /** Guards against a failure on a kind that only a newer node knows. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "leaving", "NEWER_KIND"})
+    void unknownNamesAreInternal(String name) {
+        assertThat(ErrorKind.of(name)).isEqualTo(ErrorKind.INTERNAL);
+        assertThat(ErrorKind.of(null)).isEqualTo(ErrorKind.INTERNAL);
+        assertThat(ErrorKind.of("LEAVING")).isEqualTo(ErrorKind.LEAVING);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-protocol/src/test/java/org/foxtailmoor/protocol/DocumentVersionsTest.java
@@ -0,0 +1,30 @@
+package org.foxtailmoor.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import org.foxtailmoor.protocol.generated.DocumentVersion;
+import org.junit.jupiter.api.Test;
+
+class DocumentVersionsTest {
+    private static DocumentVersion version(long number, int digest) {
+        ByteString bytes = ByteString.copyFrom(new byte[] {(byte) digest, 0x34});
+        return DocumentVersion.newBuilder().setNumber(number).setDigest(bytes).build();
+    }
+
+    /** Guards against signed comparison, by which nodes could order versions differently. */
+    @Test
+    void compareIsUnsignedByNumberThenDigest() {
+        assertThat(DocumentVersions.compare(version(2, 0), version(1, 0xff))).isPositive();
+        assertThat(DocumentVersions.compare(version(-1, 0), version(1, 0))).isPositive();
+        assertThat(DocumentVersions.compare(version(1, 0x80), version(1, 0x7f))).isPositive();
+        assertThat(DocumentVersions.compare(version(1, 5), version(1, 5))).isZero();
+    }
+
+    /** Guards against a failure on the version of a process that has none yet. */
+    @Test
+    void formatIsShort() {
+        assertThat(DocumentVersions.format(version(12, 0x1f))).isEqualTo("12-1f34");
+        assertThat(DocumentVersions.format(DocumentVersions.NONE)).isEqualTo("0-");
+    }
+}
--- a/foxtailmoor-status/src/main/java/org/foxtailmoor/status/NodeAnswer.java
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/NodeAnswer.java
@@ -29,9 +29,9 @@
                 return new NodeAnswer(address, json, "");
             }
         } catch (JsonProcessingException e) {
-            return ofError(address, "the answer is not JSON: " + e.getOriginalMessage());
+            return ofError(address, address + " answers without JSON: " + e.getOriginalMessage());
         }
-        return ofError(address, "the answer is not a JSON object");
+        return ofError(address, address + " answers without a JSON object");
     }
 
     /** Creates the record of an absent answer. */
--- a/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusCommand.java
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusCommand.java
@@ -43,6 +43,9 @@
                     ErrorKind.USAGE,
                     "--limit-milliseconds must be from 0 to " + MAXIMUM_LIMIT_MILLISECONDS);
         }
+        if (mNodes.isEmpty()) {
+            throw FoxtailmoorException.of(ErrorKind.USAGE, "--node needs at least one address");
+        }
         List<NodeAddress> nodes = mNodes.stream().map(NodeAddress::of).distinct().toList();
         FleetPoller poller = new FleetPoller(new HttpNodeClient(), Ticker.systemTicker());
         FleetStatus fleet = poller.poll(nodes, mLimitMilliseconds);
--- a/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusFormatter.java
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusFormatter.java
@@ -48,7 +48,7 @@
                 addNotes(notes, status);
             } else {
                 rows.add(List.of(answer.address().toString(), "no answer"));
-                notes.add(answer.address() + ": " + answer.error());
+                notes.add(answer.error());
             }
         }
         notes.add("catalogue: " + summary(fleet.catalogueVersions()));
@@ -143,7 +143,7 @@
                         .filter(version -> !version.equals(own))
                         .count();
         String count = Integer.toString(status.peerCatalogueVersions().size());
-        return differing == 0 ? count : count + " (" + differing + " differ)";
+        return differing == 0 ? count : count + " (" + differing + " differing)";
     }
 
     private static void addNotes(List<String> notes, NodeStatus status) {
