--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/Program.java
@@ -31,6 +31,11 @@
      */
     protected abstract int run();
 
+    /** Returns what follows the name in the first line of the help. */
+    protected String synopsis() {
+        return "[options]";
+    }
+
     /**
      * Runs the program with its arguments and returns the exit code.
      *
@@ -38,11 +43,11 @@
      */
     public final int execute(String... arguments) {
         CmdLineParser parser = new CmdLineParser(this);
-        parser.getProperties().withUsageWidth(USAGE_WIDTH);
+        parser.getProperties().withUsageWidth(USAGE_WIDTH).withShowDefaults(false);
         try {
             parser.parseArgument(arguments);
             if (mHelp) {
-                System.out.println("usage: " + name() + " [options]");
+                System.out.println("usage: " + name() + " " + synopsis());
                 parser.printUsage(System.out);
                 return EXIT_CODE_SUCCESS;
             }
