--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPipeline.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPipeline.java
@@ -1,10 +1,10 @@
 package org.foxtailmoor.node.control;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import org.foxtailmoor.node.codec.MessageDecoder;
 import org.foxtailmoor.protocol.generated.ControlMessage;
 
 /** Builds the pipeline of control connections: byte counting, framing, protobuf, events. */
@@ -23,7 +23,7 @@
         channel.pipeline()
                 .addLast(mTraffic.newHandler())
                 .addLast(new ProtobufVarint32FrameDecoder(MAXIMUM_FRAME_BYTES))
-                .addLast(new ProtobufDecoder(ControlMessage.getDefaultInstance()))
+                .addLast(new MessageDecoder<>(ControlMessage.parser()))
                 .addLast(new ProtobufVarint32LengthFieldPrepender())
                 .addLast(new ProtobufEncoder())
                 .addLast(handler);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
@@ -21,6 +21,8 @@
 import org.foxtailmoor.protocol.generated.CrashReport;
 import org.foxtailmoor.protocol.generated.Instance;
 import org.foxtailmoor.protocol.generated.Topic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Control side of a node: the control port, peer connections and the platform client around the
@@ -28,13 +30,14 @@
  * from any thread.
  */
 public final class ControlPlane implements AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(ControlPlane.class);
     private static final long TICK_MILLISECONDS = 100;
 
     private final EventLoop mLoop;
     private final ControlTraffic mTraffic;
     private final PeerConnections mConnections;
     private final DistributionEngine mEngine;
-    private final SourceSystem mSource;
+    private final SourceCalls mSource;
     private final ControlListener mListener;
     private final ControlServer mServer;
     private boolean mReadyReported;
@@ -67,7 +70,7 @@
                         mConnections);
         mEngine = newEngine(builder, addresses);
         mSource =
-                new SourceSystem(
+                new SourceCalls(
                         builder.mTicker,
                         builder.mRandom,
                         mLoop,
@@ -85,8 +88,9 @@
         return new Builder();
     }
 
-    /** Starts the control ticks. */
+    /** Starts the control ticks and accepts connections from now on. */
     public void start() {
+        mServer.startAccepting();
         mLoop.scheduleAtFixedRate(this::onTick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
@@ -167,7 +171,16 @@
                 .build();
     }
 
+    /** Runs the systems; a failure of one tick must not end the ticks that follow. */
     private void onTick() {
+        try {
+            runSystems();
+        } catch (RuntimeException e) {
+            LOGGER.error("a control tick failed", e);
+        }
+    }
+
+    private void runSystems() {
         mConnections.closeSilent();
         mEngine.onTick();
         mSource.onTick();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlServer.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Binds the port.
+     * Binds the port. No connection is accepted before {@link #startAccepting}.
      *
      * @param loop control loop
      * @param ticker clock
@@ -47,6 +47,7 @@
                 new ServerBootstrap()
                         .group(loop)
                         .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
@@ -74,6 +75,11 @@
         return (InetSocketAddress) mChannel.localAddress();
     }
 
+    /** Accepts connections from now on; until then they wait in the listen queue. */
+    void startAccepting() {
+        mChannel.config().setAutoRead(true);
+    }
+
     /** Stops listening; accepted connections stay open. */
     void close() {
         mChannel.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/DocumentsInForce.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/DocumentsInForce.java
@@ -61,7 +61,8 @@
             mCatalogue = CatalogueCodec.toSnapshot(document);
         }
         LOGGER.info(
-                "version {} of {} is in force, received from {}",
+                "{} has version {} of {} in force, received from {}",
+                mInstanceId,
                 DocumentVersions.format(document.version()),
                 topic,
                 from);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/SourceSystem.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/SourceCalls.java
@@ -20,8 +20,8 @@
  * Reads the platform as the distribution decides on each control tick, one call per topic at a
  * time. After failures it waits for an exponentially growing time with full jitter.
  */
-final class SourceSystem {
-    private static final Logger LOGGER = LoggerFactory.getLogger(SourceSystem.class);
+final class SourceCalls {
+    private static final Logger LOGGER = LoggerFactory.getLogger(SourceCalls.class);
 
     /** Shorter than the source age at which other nodes take over from a silent reader. */
     private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(2);
@@ -44,7 +44,7 @@
      * @param engine decides when to read, receives what was read
      * @param readers reader of each topic
      */
-    SourceSystem(
+    SourceCalls(
             Ticker ticker,
             RandomGenerator random,
             Executor loop,
@@ -88,7 +88,12 @@
                     role == SourceRole.WATCH
                             ? mReader.watch(known, WATCH_TIMEOUT)
                             : mReader.read(known);
-            call.whenCompleteAsync(this::onResult, mLoop);
+            call.whenCompleteAsync(this::onResult, mLoop)
+                    .exceptionally(
+                            failure -> {
+                                LOGGER.warn("call for {} ended with {}", mTopic, failure, failure);
+                                return null;
+                            });
         }
 
         private void onResult(Optional<Document> document, Throwable failure) {
