--- /dev/null
+++ b/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueCheckerTest.java
@@ -0,0 +1,171 @@
+package org.foxtailmoor.catalogue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.TreeMap;
+import org.foxtailmoor.protocol.Document;
+import org.foxtailmoor.protocol.generated.Entry;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CatalogueCheckerTest {
+    private static List<String> faults(String text) {
+        return CatalogueReader.read("test", text).check().stream()
+                .map(CatalogueFault::toString)
+                .toList();
+    }
+
+    @Nested
+    class OfEntries {
+        /** Guards against a check that refuses a catalogue without faults. */
+        @Test
+        void acceptsAValidCatalogue() {
+            assertThat(CatalogueChecker.check(TestCatalogue.entries())).isEmpty();
+        }
+
+        /** Guards against each single fault that would break routing or admission on a node. */
+        @ParameterizedTest
+        @CsvSource(
+                delimiter = '|',
+                value = {
+                    "id = \"press\"|id = \"Press\"|owner Press (owner Press): id:",
+                    "press@example.com| |owner press (owner press): contact:",
+                    "weight = 3|weight = 0|class order (owner press): weight: 0",
+                    "queue_limit = 20|queue_limit = 10001|class order (owner press): queue_limit",
+                    "zones = [\"s1\"]|zones = []|region south (owner press): zones: must name",
+                    "zones = [\"s1\"]|zones = [\"n2\"]|south (owner press): zones: zone n2 is",
+                    "[\"south\"]|[\"east\"]|north (owner press): fallback_regions: there is no",
+                    "[\"south\"]|[\"north\"]|north (owner press): fallback_regions: must name each",
+                    "holds_source = true|holds_source = false|catalogue: no region has",
+                    "[\"s1\"]|[\"s1\"]\\nholds_source = true|holds_source: true in 2 regions",
+                    "\"north\"\\nslots|\"east\"\\nslots|desk (owner press): home_region: there is",
+                    "slots = 20|slots = 4294967295|desk (owner press): slots: 4294967295",
+                    "connections = 110|connections = 0|desk (owner press): connections: 0",
+                    "crash_limit = 3|crash_limit = 0|desk (owner press): crash_limit: 0",
+                    "service = \"desk\"|service = \"x\"|route orders (owner press): service: there",
+                    "\"POST\"|\"post\"|route orders (owner press): method: \"post\"",
+                    "\"/desk\"|\"desk\"|route orders (owner press): path_prefix:",
+                    "\"/desk\"|\"/a//b\"|route orders (owner press): path_prefix:",
+                    "\"/desk\"|\"/a/../b\"|route orders (owner press): path_prefix:",
+                    "deadline_milliseconds = 5000|deadline_milliseconds = 30001|deadline_milli",
+                    "65536|8388609|route orders (owner press): body_limit_bytes: 8388609",
+                    "limit = \"orders\"|limit = \"x\"|orders (owner press): limit: there is no l",
+                    "retry = \"orders\"|retry = \"x\"|orders (owner press): retry: there is no r",
+                    "rate_per_second = 100|rate_per_second = 0|limit orders (owner press): rate_",
+                    "burst = 10|burst = 0|limit orders (owner press): burst: 0",
+                    "attempts = 3|attempts = 11|retry orders (owner press): attempts: 11",
+                    "budget_percent = 20|budget_percent = 101|budget_percent: 101 must be a whole",
+                    "backoff_milliseconds = 50|backoff_milliseconds = 0|base_backoff_milliseconds"
+                })
+        void reportsOneFaultWithEntryAndOwner(String text, String replacement, String fault) {
+            String altered =
+                    TestCatalogue.TEXT.replace(
+                            text.replace("\\n", "\n"),
+                            replacement == null ? "" : replacement.replace("\\n", "\n"));
+            assertThat(altered).isNotEqualTo(TestCatalogue.TEXT);
+            assertThat(faults(altered)).anyMatch(found -> found.contains(fault));
+        }
+
+        /** Guards against operators who correct one fault at a time. */
+        @Test
+        void reportsEveryFault() {
+            String text = TestCatalogue.TEXT.replace("owner = \"press\"", "owner = \"nobody\"");
+            assertThat(faults(text)).hasSize(7).allMatch(fault -> fault.contains("nobody"));
+            text = TestCatalogue.TEXT.replace("class = \"order\"", "class = \"none\"");
+            assertThat(faults(text)).hasSize(4).allMatch(fault -> fault.contains("class: there"));
+        }
+
+        /** Guards against two entries of which a node would drop one. */
+        @Test
+        void reportsDuplicateIds() {
+            assertThat(faults(TestCatalogue.TEXT + TestCatalogue.route("orders", "GET", "/x")))
+                    .containsExactly(
+                            "route orders (owner press): id: entry 2 of this type with the same"
+                                    + " id");
+        }
+
+        /** Guards against a request that two routes match equally well. */
+        @ParameterizedTest
+        @CsvSource({
+            "POST,/desk,true",
+            "*,/desk,true",
+            "POST,/desk/,true",
+            "GET,/desk,false",
+            "POST,/desk/a,false",
+            "POST,/des,false",
+            "*,/,false"
+        })
+        void reportsAmbiguousOverlaps(String method, String prefix, boolean ambiguous) {
+            assertThat(faults(TestCatalogue.TEXT + TestCatalogue.route("second", method, prefix)))
+                    .hasSize(ambiguous ? 1 : 0)
+                    .allMatch(fault -> fault.contains("ambiguous overlap with route orders"));
+        }
+
+        /** Guards against a part that the configuration service can't hold. */
+        @Test
+        void reportsPartsThatAreTooLarge() {
+            StringBuilder text = new StringBuilder(TestCatalogue.TEXT);
+            for (int route = 0; route < 1_100; route++) {
+                String prefix = "/" + "a".repeat(900) + route;
+                text.append(TestCatalogue.route("route" + route, "GET", prefix));
+            }
+            assertThat(faults(text.toString()))
+                    .singleElement()
+                    .asString()
+                    .startsWith("part service/desk (owner press): ");
+        }
+    }
+
+    @Nested
+    class OfDocuments {
+        private final TreeMap<String, ByteString> mContents =
+                new TreeMap<>(CatalogueCodec.toDocument(1, TestCatalogue.entries()).contents());
+
+        private List<String> faults() {
+            return CatalogueChecker.check(Document.of(1, mContents)).stream()
+                    .map(CatalogueFault::toString)
+                    .toList();
+        }
+
+        /** Guards against a node that refuses what build publishes. */
+        @Test
+        void acceptsAValidCatalogue() {
+            assertThat(faults()).isEmpty();
+        }
+
+        /** Guards against applying the readable half of a damaged version. */
+        @Test
+        void reportsDamagedEmptyAndMissingParts() {
+            mContents.put("service/desk", ByteString.copyFrom(new byte[] {0x0a, 0x7f}));
+            mContents.put("service/none", ByteString.EMPTY);
+            ByteString global = mContents.remove("global");
+            assertThat(faults())
+                    .anyMatch(fault -> fault.startsWith("part service/desk: part service/desk ca"))
+                    .contains("part service/none: has no entries", "part global: is missing");
+            mContents.put("global", global);
+            assertThat(faults()).noneMatch(fault -> fault.contains("global"));
+        }
+
+        /** Guards against an entry that a change of its service's part would not remove. */
+        @Test
+        void reportsEntriesInTheWrongPart() {
+            mContents.put("service/other", mContents.remove("service/desk"));
+            assertThat(faults())
+                    .hasSize(2)
+                    .allMatch(fault -> fault.contains("must be in service/desk"));
+        }
+
+        /** Guards against entries of a newer type that this node can't obey. */
+        @Test
+        void reportsEntriesOfAnUnknownType() {
+            Entry entry = Entry.newBuilder().setId("new").setOwner("press").build();
+            assertThat(CatalogueChecker.check(List.of(entry)))
+                    .extracting(CatalogueFault::toString)
+                    .contains("entry new (owner press): has no body of a known type");
+        }
+    }
+}
