--- a/foxtailmoor-base/src/test/java/org/foxtailmoor/base/ErrorKindTest.java
+++ b/foxtailmoor-base/src/test/java/org/foxtailmoor/base/ErrorKindTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ErrorKindTest {
@@ -14,27 +14,7 @@
     class RequestKinds {
         /** Guards against an answer with a wrong status or a wrong claim of "not run". */
         @ParameterizedTest
-        @CsvSource({
-            "BAD_REQUEST,400,true",
-            "NO_ROUTE,404,true",
-            "KEY_REQUIRED,400,true",
-            "KEY_INVALID,400,true",
-            "BODY_TOO_LARGE,413,true",
-            "NOT_READY,503,true",
-            "OVERLOADED,503,true",
-            "RATE_LIMITED,429,true",
-            "LEAVING,503,true",
-            "POISONED,422,true",
-            "HOME_UNAVAILABLE,503,true",
-            "NO_UPSTREAM,503,true",
-            "DEADLINE_BEFORE_RUN,504,true",
-            "DEADLINE_EXCEEDED,504,false",
-            "UPSTREAM_FAILED,502,false",
-            "OUTCOME_UNKNOWN,409,false",
-            "ALREADY_RUN,409,false",
-            "CANCELLED,499,false",
-            "INTERNAL,500,false"
-        })
+        @CsvFileSource(resources = "/request-kinds.csv")
         void haveTheStatusAndOutcomeOfTheDesign(ErrorKind kind, int status, boolean notRun) {
             assertThat(kind.status()).isEqualTo(status);
             assertThat(kind.isNotRun()).isEqualTo(notRun);
--- a/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueCheckerTest.java
+++ b/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueCheckerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.junit.jupiter.params.provider.CsvSource;
 
 class CatalogueCheckerTest {
@@ -29,38 +30,7 @@
 
         /** Guards against each single fault that would break routing or admission on a node. */
         @ParameterizedTest
-        @CsvSource(
-                delimiter = '|',
-                value = {
-                    "id = \"press\"|id = \"Press\"|owner Press (owner Press): id:",
-                    "press@example.com| |owner press (owner press): contact:",
-                    "weight = 3|weight = 0|class order (owner press): weight: 0",
-                    "queue_limit = 20|queue_limit = 10001|class order (owner press): queue_limit",
-                    "zones = [\"s1\"]|zones = []|region south (owner press): zones: must name",
-                    "zones = [\"s1\"]|zones = [\"n2\"]|south (owner press): zones: zone n2 is",
-                    "[\"south\"]|[\"east\"]|north (owner press): fallback_regions: there is no",
-                    "[\"south\"]|[\"north\"]|north (owner press): fallback_regions: must name each",
-                    "holds_source = true|holds_source = false|catalogue: no region has",
-                    "[\"s1\"]|[\"s1\"]\\nholds_source = true|holds_source: true in 2 regions",
-                    "\"north\"\\nslots|\"east\"\\nslots|desk (owner press): home_region: there is",
-                    "slots = 20|slots = 4294967295|desk (owner press): slots: 4294967295",
-                    "connections = 110|connections = 0|desk (owner press): connections: 0",
-                    "crash_limit = 3|crash_limit = 0|desk (owner press): crash_limit: 0",
-                    "service = \"desk\"|service = \"x\"|route orders (owner press): service: there",
-                    "\"POST\"|\"post\"|route orders (owner press): method: \"post\"",
-                    "\"/desk\"|\"desk\"|route orders (owner press): path_prefix:",
-                    "\"/desk\"|\"/a//b\"|route orders (owner press): path_prefix:",
-                    "\"/desk\"|\"/a/../b\"|route orders (owner press): path_prefix:",
-                    "deadline_milliseconds = 5000|deadline_milliseconds = 30001|deadline_milli",
-                    "65536|8388609|route orders (owner press): body_limit_bytes: 8388609",
-                    "limit = \"orders\"|limit = \"x\"|orders (owner press): limit: there is no l",
-                    "retry = \"orders\"|retry = \"x\"|orders (owner press): retry: there is no r",
-                    "rate_per_second = 100|rate_per_second = 0|limit orders (owner press): rate_",
-                    "burst = 10|burst = 0|limit orders (owner press): burst: 0",
-                    "attempts = 3|attempts = 11|retry orders (owner press): attempts: 11",
-                    "budget_percent = 20|budget_percent = 101|budget_percent: 101 must be a whole",
-                    "backoff_milliseconds = 50|backoff_milliseconds = 0|base_backoff_milliseconds"
-                })
+        @CsvFileSource(resources = "/checker-faults.csv", delimiter = '|', quoteCharacter = '\'')
         void reportsOneFaultWithEntryAndOwner(String text, String replacement, String fault) {
             String altered =
                     TestCatalogue.TEXT.replace(
--- a/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueReaderTest.java
+++ b/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueReaderTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class CatalogueReaderTest {
@@ -17,22 +17,7 @@
     class Faults {
         /** Guards against a misspelt key or a wrong type that is silently ignored. */
         @ParameterizedTest
-        @CsvSource(
-                delimiter = '|',
-                value = {
-                    "burst = 10|burst = 10\\nbursts = 1|limit orders (owner press): bursts: unkno",
-                    "burst = 10|burst = \"10\"|burst: \"10\" must be a whole number from 1 to",
-                    "burst = 10|burst = 1.5|burst: 1.5 must be",
-                    "burst = 10|burst = -1|burst: -1 must be",
-                    "burst = 10|burst = 4294967297|burst: 4294967297 must be",
-                    "burst = 10|rate = 10|limit orders (owner press): burst: missing",
-                    "require_key = true|require_key = 1|require_key: 1 must be true or false",
-                    "zones = [\"s1\"]|zones = \"s1\"|zones: \"s1\" must be a list",
-                    "zones = [\"s1\"]|zones = [\"s1\", 2]|zones: 2 must be a text",
-                    "method = \"POST\"|method = 5|method: 5 must be a text",
-                    "[[retry]]|[[retries]]|catalogue: retries: unknown key",
-                    "[[retry]]|[retry]|catalogue: retry: must be written [[retry]]"
-                })
+        @CsvFileSource(resources = "/reader-faults.csv", delimiter = '|', quoteCharacter = '\'')
         void areReportedOnce(String text, String replacement, String fault) {
             String altered = TestCatalogue.TEXT.replace(text, replacement.replace("\\n", "\n"));
             assertThat(CatalogueReader.read("test", altered).check())
--- a/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/RandomEntries.java
+++ b/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/RandomEntries.java
@@ -1,20 +1,22 @@
 package org.foxtailmoor.catalogue;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.foxtailmoor.protocol.generated.ClassEntry;
 import org.foxtailmoor.protocol.generated.Entry;
-import org.foxtailmoor.protocol.generated.LimitEntry;
-import org.foxtailmoor.protocol.generated.OwnerEntry;
-import org.foxtailmoor.protocol.generated.RegionEntry;
-import org.foxtailmoor.protocol.generated.RetryEntry;
-import org.foxtailmoor.protocol.generated.RouteEntry;
-import org.foxtailmoor.protocol.generated.ServiceEntry;
 
 /** Generates entries with arbitrary values, valid or not, that differ in type or id. */
 final class RandomEntries {
     private static final String CHARACTERS = "ab/\"\\\n\t\u0001\u007f# =[]é\u4e00";
+    private static final int FIRST_BODY_FIELD = 10; // number of the field owner_entry
+
+    /** Fields of each body in the order of the types: s text, n number, b flag. */
+    private static final List<String> BODIES =
+            List.of("s", "nn", "ssb", "snnnn", "sssbbnnss", "nnn", "nnn");
 
     private final Random mRandom;
 
@@ -28,63 +30,40 @@
         int count = mRandom.nextInt(20);
         for (int index = 0; index < count; index++) {
             EntryType type = EntryType.values()[mRandom.nextInt(EntryType.values().length)];
-            Entry.Builder entry = Entry.newBuilder().setId(text() + index).setOwner("o" + text());
-            if (type.hasClass()) {
-                entry.setClassId(text());
+            try {
+                entries.add(entry(type, index));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
             }
-            setBody(entry, type);
-            entries.add(entry.build());
         }
         return entries;
     }
 
-    private void setBody(Entry.Builder entry, EntryType type) {
-        switch (type) {
-            case OWNER -> entry.setOwnerEntry(OwnerEntry.newBuilder().setContact(text()));
-            case CLASS ->
-                    entry.setClassEntry(
-                            ClassEntry.newBuilder().setWeight(number()).setQueueLimit(number()));
-            case REGION ->
-                    entry.setRegionEntry(
-                            RegionEntry.newBuilder().addZones(text()).addFallbackRegions(text()));
-            case SERVICE ->
-                    entry.setServiceEntry(
-                            ServiceEntry.newBuilder()
-                                    .setHomeRegion(text())
-                                    .setSlots(number())
-                                    .setConnections(number())
-                                    .setCrashLimit(number())
-                                    .setSlowStartMilliseconds(number()));
-            case ROUTE ->
-                    entry.setRouteEntry(
-                            RouteEntry.newBuilder()
-                                    .setServiceId(text())
-                                    .setMethod(text())
-                                    .setPathPrefix(text())
-                                    .setIdempotent(mRandom.nextBoolean())
-                                    .setRequireKey(mRandom.nextBoolean())
-                                    .setDeadlineMilliseconds(number())
-                                    .setBodyLimitBytes(number())
-                                    .setLimitId(text())
-                                    .setRetryId(text()));
-            case LIMIT ->
-                    entry.setLimitEntry(
-                            LimitEntry.newBuilder()
-                                    .setRatePerSecond(number())
-                                    .setBurst(number())
-                                    .setConcurrency(number()));
-            case RETRY ->
-                    entry.setRetryEntry(
-                            RetryEntry.newBuilder()
-                                    .setAttempts(number())
-                                    .setBudgetPercent(number())
-                                    .setBaseBackoffMilliseconds(number()));
-            default -> throw new IllegalStateException("no random body for " + type);
-        }
+    private Entry entry(EntryType type, int index) throws IOException {
+        ByteString.Output bytes = ByteString.newOutput();
+        CodedOutputStream output = CodedOutputStream.newInstance(bytes);
+        output.writeByteArray(FIRST_BODY_FIELD + type.ordinal(), body(type).toByteArray());
+        output.flush();
+        return Entry.parseFrom(bytes.toByteString()).toBuilder()
+                .setId(text() + index)
+                .setOwner("o" + text())
+                .setClassId(type.hasClass() ? text() : "")
+                .build();
     }
 
-    private int number() {
-        return mRandom.nextInt() >>> mRandom.nextInt(32);
+    private ByteString body(EntryType type) throws IOException {
+        ByteString.Output bytes = ByteString.newOutput();
+        CodedOutputStream output = CodedOutputStream.newInstance(bytes);
+        String fields = BODIES.get(type.ordinal());
+        for (int field = 1; field <= fields.length(); field++) {
+            switch (fields.charAt(field - 1)) {
+                case 's' -> output.writeString(field, text());
+                case 'n' -> output.writeUInt32(field, mRandom.nextInt() >>> mRandom.nextInt(32));
+                default -> output.writeBool(field, mRandom.nextBoolean());
+            }
+        }
+        output.flush();
+        return bytes.toByteString();
     }
 
     private String text() {
