--- a/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueCodecTest.java
+++ b/foxtailmoor-catalogue/src/test/java/org/foxtailmoor/catalogue/CatalogueCodecTest.java
@@ -98,7 +98,8 @@
                     bytes[random.nextInt(bytes.length)] ^= (byte) (1 + random.nextInt(255));
                 }
                 contents.put("global", ByteString.copyFrom(bytes));
-                // No region of a random catalogue holds the source, so that it is never valid.
+                // Random ids end with a digit and random owners have none, so that the reference
+                // to the owner is always a fault.
                 assertThat(CatalogueChecker.check(Document.of(1, contents))).isNotEmpty();
             }
         }
--- a/foxtailmoor-status/src/test/java/org/foxtailmoor/status/NodeAddressTest.java
+++ b/foxtailmoor-status/src/test/java/org/foxtailmoor/status/NodeAddressTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class NodeAddressTest {
+    /** Guards against an IPv6 address whose last group is taken for the port. */
     @ParameterizedTest
     @ValueSource(strings = {"10.0.0.1:9000", "[::1]:1"})
     void readsWhatItPrints(String text) {
