Check that keys run at most once in random schedules

150 schedules of 90 s virtual time with differing views, pauses, restarts, partitions, lost answers and repeats. The lease type of the distribution package replaces the one of the home package.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeTerms.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeTerms.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.distribution.ViewLease;
 import org.foxtailmoor.core.routing.EpochClock;
 import org.foxtailmoor.core.routing.IdempotencyKey;
 import org.foxtailmoor.core.routing.KeyHome;
@@ -149,15 +150,15 @@
             return;
         }
         MemberView view = mViews.peekFirst();
-        boolean sameView = mLastLease != null && mLastLease.view().equals(mVersion);
-        if (mLastLease != null && !sameView && mLastLease.untilNanoseconds() - now <= 0) {
+        boolean sameView = mLastLease != null && mLastLease.instancesVersion().equals(mVersion);
+        if (mLastLease != null && !sameView && mLastLease.validUntilNanoseconds() - now <= 0) {
             view.mRestartMilliseconds = mClock.milliseconds();
         }
         if (view.mFirstLeaseMilliseconds == MemberView.NEVER) {
             view.mFirstLeaseMilliseconds = mClock.milliseconds();
         }
         boolean extended =
-                !sameView || lease.untilNanoseconds() - mLastLease.untilNanoseconds() > 0;
+                !sameView || lease.validUntilNanoseconds() - mLastLease.validUntilNanoseconds() > 0;
         mLastLease = extended ? lease : mLastLease;
     }
 }
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/AtMostOnceTest.java
@@ -0,0 +1,208 @@
+package org.foxtailmoor.core.home;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.routing.Fleet;
+import org.foxtailmoor.core.routing.IdempotencyKey;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.core.routing.Upstream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a key that runs twice: random schedules with homes that hold different views, are
+ * paused, restarted or cut off, and callers that repeat keys after lost answers.
+ */
+class AtMostOnceTest {
+    private static final long FIRST_SEED = Long.getLong("foxtailmoor.seed", 1);
+    private static final int SCHEDULES = Integer.getInteger("foxtailmoor.schedules", 150);
+    private static final int STEP_MILLISECONDS = 20;
+    private static final int DURATION_MILLISECONDS = 90_000;
+    private static final String[] POOL = {"a", "b", "c", "d", "e", "f", "g", "h"};
+
+    @Test
+    void noKeyRunsTwiceInRandomSchedules() {
+        int keysRun = 0;
+        int replays = 0;
+        Map<ErrorKind, Integer> refusals = new TreeMap<>();
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
+            HistoryChecker history = new Schedule(seed).run();
+            assertThat(history.faults()).as("seed %d", seed).isEmpty();
+            keysRun += history.keysRun();
+            replays += history.replays();
+            history.refusals().forEach((kind, n) -> refusals.merge(kind, n, Integer::sum));
+        }
+        System.out.printf(
+                "at most once: seeds %d to %d, %d keys run, %d replays, refusals %s%n",
+                FIRST_SEED, FIRST_SEED + SCHEDULES - 1, keysRun, replays, refusals);
+        assertThat(keysRun).as("runs, so that the check is not empty").isGreaterThan(SCHEDULES);
+        assertThat(replays).isPositive();
+    }
+
+    /** One random schedule of all processes and callers in virtual time. */
+    private static final class Schedule {
+        private final Random mRandom;
+        private final MockTicker mTicker = Ticker.newMockTicker();
+        private final HistoryChecker mHistory = new HistoryChecker();
+        private final TreeSet<String> mMembers = new TreeSet<>(List.of("a", "b", "c", "d", "e"));
+        private final Map<String, FakeHome> mHomes = new TreeMap<>();
+        private final Map<String, List<Runnable>> mTargets = new HashMap<>();
+        private final TreeMap<Long, List<Runnable>> mEvents = new TreeMap<>();
+        private final List<RoutingSnapshot> mViews = new ArrayList<>();
+        private long mNow = 1_000_000;
+
+        private Schedule(long seed) {
+            mRandom = new Random(seed);
+        }
+
+        private HistoryChecker run() {
+            mTicker.advance(mNow, TimeUnit.MILLISECONDS);
+            publish();
+            for (String id : POOL) {
+                mHomes.put(id, new FakeHome(id, mTicker, mHistory, mViews.get(0)));
+                mTargets.put(id, new ArrayList<>());
+                every(300 + mRandom.nextInt(700), () -> exchange(mHomes.get(id)));
+            }
+            every(5_000, this::changeMembers);
+            every(3_000, this::disturb);
+            every(100, this::newKey);
+            long end = mNow + DURATION_MILLISECONDS;
+            while (mNow < end) {
+                step();
+            }
+            return mHistory;
+        }
+
+        private void step() {
+            mTicker.advance(STEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+            mNow += STEP_MILLISECONDS;
+            while (!mEvents.isEmpty() && mEvents.firstKey() <= mNow) {
+                mEvents.pollFirstEntry().getValue().forEach(Runnable::run);
+            }
+            for (FakeHome home : new ArrayList<>(mHomes.values())) {
+                List<Runnable> target = mTargets.get(home.mId);
+                List<Runnable> running = new ArrayList<>(target);
+                target.clear();
+                running.forEach(Runnable::run);
+                if (!home.mPaused) {
+                    home.tick();
+                }
+            }
+        }
+
+        private void at(long milliseconds, Runnable event) {
+            mEvents.computeIfAbsent(milliseconds, time -> new ArrayList<>()).add(event);
+        }
+
+        private void every(int milliseconds, Runnable event) {
+            at(mNow + milliseconds / 2 + mRandom.nextInt(milliseconds), event);
+            at(mNow + milliseconds, () -> every(milliseconds, event));
+        }
+
+        private void publish() {
+            Fleet fleet = new Fleet().service("s", 1).route("r", "s", "POST", "/", false);
+            fleet.upstreams("s", "doo", "sapporo-a", mMembers.toArray(new String[0]));
+            RoutingSnapshot view = fleet.build(1, mViews.size() + 1);
+            mViews.add(view);
+            for (FakeHome home : mHomes.values()) {
+                if (mRandom.nextInt(3) > 0) {
+                    at(mNow + mRandom.nextInt(1_500), () -> deliver(home.mId, view));
+                }
+            }
+        }
+
+        private void deliver(String id, RoutingSnapshot view) {
+            FakeHome home = mHomes.get(id);
+            if (!home.mPaused && home.mSide == 0) {
+                home.see(view);
+            }
+        }
+
+        private void changeMembers() {
+            String id = POOL[mRandom.nextInt(POOL.length)];
+            if (mMembers.contains(id) && mMembers.size() > 5) {
+                mMembers.remove(id);
+            } else {
+                mMembers.add(id);
+            }
+            publish();
+        }
+
+        private void exchange(FakeHome home) {
+            for (FakeHome other : mHomes.values()) {
+                if (other != home && !home.mPaused && !other.mPaused) {
+                    if (other.mSide == home.mSide && mRandom.nextInt(5) > 0) {
+                        home.exchange(other);
+                    }
+                }
+            }
+        }
+
+        private void disturb() {
+            FakeHome home = mHomes.get(POOL[mRandom.nextInt(POOL.length)]);
+            long until = mNow + 500 + mRandom.nextInt(9_000);
+            switch (mRandom.nextInt(4)) {
+                case 0 -> {
+                    home.mPaused = true;
+                    at(until, () -> home.mPaused = false);
+                }
+                case 1 -> restart(home);
+                case 2 -> {
+                    for (FakeHome cut : mHomes.values()) {
+                        cut.mSide = mRandom.nextInt(2);
+                    }
+                    at(until, () -> mHomes.values().forEach(cut -> cut.mSide = 0));
+                }
+                default -> home.mSide = 2;
+            }
+        }
+
+        /** Restarts a process with the newest view of its peers, as the start rule demands. */
+        private void restart(FakeHome home) {
+            RoutingSnapshot newest = mViews.get(0);
+            for (FakeHome peer : mHomes.values()) {
+                boolean answers = peer != home && !peer.mPaused && peer.mSide == 0;
+                newest = answers && peer.mView.isNewerThan(newest) ? peer.mView : newest;
+            }
+            mTargets.get(home.mId).clear();
+            mHomes.put(home.mId, new FakeHome(home.mId, mTicker, mHistory, newest));
+        }
+
+        private void newKey() {
+            String text =
+                    String.format(
+                            "%08x-0000-7000-8000-%012x", mRandom.nextInt(), mRandom.nextInt());
+            long created = mNow - 1_900 + mRandom.nextInt(3_800);
+            IdempotencyKey key = new IdempotencyKey(text, created);
+            int repeats = 1 + mRandom.nextInt(5);
+            long time = mNow;
+            for (int i = 0; i < repeats; i++) {
+                at(time, () -> send(key));
+                time += mRandom.nextInt(3) == 0 ? mRandom.nextInt(20_000) : mRandom.nextInt(800);
+            }
+        }
+
+        /** Sends by the view of an entry that may lag behind by one version. */
+        private void send(IdempotencyKey key) {
+            int lag = Math.min(mRandom.nextInt(2), mViews.size() - 1);
+            RoutingSnapshot view = mViews.get(mViews.size() - 1 - lag);
+            Upstream upstream = view.service("s").homeOf(key);
+            FakeHome home = mHomes.get(upstream.id());
+            long service = 10 + mRandom.nextInt(mRandom.nextInt(10) == 0 ? 2_000 : 150);
+            boolean lost = mRandom.nextInt(4) == 0;
+            FakeHome.Call call =
+                    home.new Call(view.routeById("r"), key, service, lost, mTargets.get(home.mId));
+            home.mInbox.add(() -> home.accept(call));
+        }
+    }
+}
