--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
@@ -0,0 +1,257 @@
+package org.foxtailmoor.core.home;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.AdmissionController;
+import org.foxtailmoor.core.admission.FleetLimits;
+import org.foxtailmoor.core.distribution.ViewLease;
+import org.foxtailmoor.core.routing.EpochClock;
+import org.foxtailmoor.core.routing.Fleet;
+import org.foxtailmoor.core.routing.IdempotencyKey;
+import org.foxtailmoor.core.routing.Route;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HomeRequestsTest {
+    private static final StoredAnswer ANSWER = new StoredAnswer(200, List.of(), new byte[] {7});
+    private static final long SLOTS = 2;
+
+    private final MockTicker mTicker = Ticker.newMockTicker();
+    private final EpochClock mClock = EpochClock.of(mTicker, 1_000_000);
+    private final RoutingSnapshot mSnapshot =
+            new Fleet()
+                    .service("s", (int) SLOTS)
+                    .route("order", "s", "POST", "/", false)
+                    .route("read", "s", "GET", "/", true)
+                    .upstreams("s", "doo", "sapporo-a", "me")
+                    .build(1, 1);
+    private final CrashGuard mGuard = CrashGuard.of(mTicker, "s", "me");
+    private final List<Call> mDispatched = new ArrayList<>();
+    private boolean mLeased = true;
+    private final HomeRequests mHome =
+            HomeRequests.of(
+                    mTicker,
+                    AdmissionController.of(mTicker, (int) SLOTS),
+                    FleetLimits.of(mTicker),
+                    KeyLedger.of(mTicker),
+                    HomeTerms.of(mClock, "me", this::lease),
+                    mGuard);
+
+    HomeRequestsTest() {
+        mHome.update(mSnapshot, "s");
+        mHome.tick();
+        advance(10_000);
+    }
+
+    private ViewLease lease() {
+        return new ViewLease(Fleet.version(1), mLeased, mTicker.nanoTime() + 1, 0);
+    }
+
+    private void advance(long milliseconds) {
+        mTicker.advance(milliseconds, TimeUnit.MILLISECONDS);
+        mHome.tick();
+    }
+
+    private IdempotencyKey key(String text) {
+        return new IdempotencyKey(text, mClock.milliseconds());
+    }
+
+    private Call accept(String route, IdempotencyKey key, long body) {
+        Call call = new Call(mSnapshot.routeById(route), key, new Fingerprint(0, body));
+        mHome.accept(call);
+        return call;
+    }
+
+    private final class Call implements HomeRequest {
+        private final Route mRoute;
+        private final IdempotencyKey mKey;
+        private final Fingerprint mFingerprint;
+        private final long mDeadline = mTicker.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        private StoredAnswer mAnswer;
+        private ErrorKind mRefusal;
+
+        private Call(Route route, IdempotencyKey key, Fingerprint fingerprint) {
+            mRoute = route;
+            mKey = key;
+            mFingerprint = fingerprint;
+        }
+
+        private boolean isDispatched() {
+            return mDispatched.contains(this);
+        }
+
+        @Override
+        public Route route() {
+            return mRoute;
+        }
+
+        @Override
+        public IdempotencyKey key() {
+            return mKey;
+        }
+
+        @Override
+        public Fingerprint fingerprint() {
+            return mFingerprint;
+        }
+
+        @Override
+        public long deadlineNanoseconds() {
+            return mDeadline;
+        }
+
+        @Override
+        public void dispatch() {
+            mDispatched.add(this);
+        }
+
+        @Override
+        public void answer(StoredAnswer answer) {
+            mAnswer = answer;
+        }
+
+        @Override
+        public void refuse(ErrorKind kind, int retryAfterMilliseconds) {
+            mRefusal = kind;
+        }
+    }
+
+    @Nested
+    class Keys {
+        @Test
+        void repeatsJoinTheRunningRequestAndGetItsAnswer() {
+            IdempotencyKey key = key("a");
+            Call first = accept("order", key, 1);
+            Call joined = accept("order", key, 1);
+            mHome.completed(first, ANSWER);
+            Call later = accept("order", key, 1);
+            assertThat(mDispatched).containsExactly(first);
+            assertThat(joined.mAnswer).isSameAs(ANSWER);
+            assertThat(later.mAnswer).isSameAs(ANSWER);
+            assertThat(accept("order", key, 2).mRefusal).isEqualTo(ErrorKind.KEY_INVALID);
+        }
+
+        /** Guards invariant 6: a process paused while the key waited has lost its lease. */
+        @Test
+        void leaseIsCheckedAgainWhenAWaitingKeyGetsItsSlot() {
+            Call running = accept("order", null, 1);
+            accept("order", null, 2);
+            Call waiting = accept("order", key("a"), 3);
+            mLeased = false;
+            mHome.completed(running, ANSWER);
+            assertThat(waiting.isDispatched()).isFalse();
+            assertThat(waiting.mRefusal).isEqualTo(ErrorKind.HOME_UNAVAILABLE);
+        }
+
+        @Test
+        void leaseIsCheckedAgainAfterAConnectionWasOpened() {
+            Call call = accept("order", key("a"), 1);
+            assertThat(mHome.confirmDispatch(call)).isTrue();
+            mLeased = false;
+            assertThat(mHome.confirmDispatch(call)).isFalse();
+            assertThat(call.mRefusal).isEqualTo(ErrorKind.HOME_UNAVAILABLE);
+            assertThat(mHome.isIdle()).isTrue();
+        }
+
+        /** Guards invariant 5: no repeat of a key that was dispatched gets "not run". */
+        @Test
+        void keyWithALostOutcomeAnswersUnknown() {
+            Call call = accept("order", key("a"), 1);
+            Call joined = accept("order", call.key(), 1);
+            assertThatThrownBy(() -> mHome.failed(call, ErrorKind.OVERLOADED))
+                    .isInstanceOf(IllegalArgumentException.class);
+            mHome.failed(call, ErrorKind.UPSTREAM_FAILED);
+            mHome.leave();
+            assertThat(call.mRefusal).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(joined.mRefusal).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(accept("order", call.key(), 1).mRefusal)
+                    .isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(accept("order", key("b"), 1).mRefusal).isEqualTo(ErrorKind.LEAVING);
+        }
+
+        @Test
+        void cancellationOfAWaitingRequestLeavesTheRepeatThatJoinedIt() {
+            Call running = accept("read", null, 1);
+            accept("read", null, 2);
+            Call waiting = accept("order", key("a"), 3);
+            Call joined = accept("order", waiting.key(), 3);
+            assertThat(mHome.cancel(waiting)).isEqualTo(Cancellation.NOT_RUN);
+            assertThat(mHome.cancel(running)).isEqualTo(Cancellation.CANCEL_AT_TARGET);
+            mHome.failed(running, ErrorKind.CANCELLED);
+            assertThat(waiting.isDispatched()).isFalse();
+            assertThat(joined.isDispatched()).isTrue();
+            assertThat(mHome.cancel(joined)).isEqualTo(Cancellation.KEEP_RUNNING);
+        }
+
+        @Test
+        void joinedRequestEndsWithItsDeadlineWithoutSayingNotRun() {
+            Call first = accept("order", key("a"), 1);
+            Call joined = accept("order", first.key(), 1);
+            advance(5_001);
+            assertThat(joined.mRefusal).isEqualTo(ErrorKind.DEADLINE_EXCEEDED);
+        }
+    }
+
+    @Nested
+    class Poison {
+        /** Runs what was dispatched: the poison crashes the target, all others complete. */
+        private void runTarget(long poison) {
+            List<Call> inFlight = List.copyOf(mDispatched);
+            mDispatched.clear();
+            if (inFlight.stream().anyMatch(call -> call.mFingerprint.low() == poison)) {
+                mHome.crashed(inFlight);
+            } else {
+                inFlight.forEach(call -> mHome.completed(call, ANSWER));
+            }
+        }
+
+        /** Guards the fleet against a crashing request and its neighbours against quarantine. */
+        @Test
+        void poisonIsRefusedAfterTheLimitAndNeighboursAreClearedAlone() {
+            Call poison = accept("order", null, 66);
+            Call neighbour = accept("read", null, 1);
+            runTarget(66);
+            assertThat(poison.mRefusal).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(neighbour.mRefusal).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+
+            Call again = accept("read", null, 1);
+            Call beside = accept("read", null, 2);
+            assertThat(again.isDispatched()).isTrue();
+            assertThat(beside.isDispatched()).as("the suspect runs alone").isFalse();
+            runTarget(66);
+            assertThat(mGuard.verdict(neighbour.mFingerprint, 2))
+                    .isEqualTo(CrashGuard.Verdict.CLEAR);
+            assertThat(beside.isDispatched()).isTrue();
+            runTarget(66);
+
+            Call repeat = accept("order", null, 66);
+            Call queued = accept("order", null, 66);
+            Call innocent = accept("read", null, 3);
+            runTarget(66);
+            assertThat(repeat.mRefusal).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+            assertThat(queued.mRefusal).as("queued copy").isEqualTo(ErrorKind.POISONED);
+            assertThat(accept("order", null, 66).mRefusal).isEqualTo(ErrorKind.POISONED);
+            runTarget(66);
+            assertThat(innocent.mRefusal).isNull();
+            assertThat(mGuard.verdict(innocent.mFingerprint, 2))
+                    .isEqualTo(CrashGuard.Verdict.CLEAR);
+            assertThat(mHome.isIdle()).isTrue();
+        }
+    }
+
+    @Test
+    void targetThatCannotBeReachedIsNotRun() {
+        Call call = accept("order", key("a"), 1);
+        mHome.notSent(call, ErrorKind.NO_UPSTREAM);
+        assertThat(call.mRefusal).isEqualTo(ErrorKind.NO_UPSTREAM);
+        assertThat(accept("order", call.key(), 1).isDispatched()).isTrue();
+    }
+}
