--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ExchangeSystem.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/ExchangeSystem.java
@@ -1,6 +1,5 @@
 package org.foxtailmoor.core.distribution;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 import org.foxtailmoor.core.membership.Fleet;
@@ -17,7 +16,7 @@
     // exchange intervals even if both of the region's gateways are dead but listed.
     private static final double INTERVALS_PER_REGION = 2;
     private static final int GATEWAY_INTERVALS = 2;
-    private static final int DRAWS = 4;
+    private static final int DRAWS = 16;
     private static final int SILENT_AFTER_ASKS = 2;
 
     private final EngineContext mContext;
@@ -72,55 +71,66 @@
 
     private String chooseGateway() {
         String region = chooseOtherRegion();
-        return region == null ? null : draw(mState.topology().gatewaysOf(region));
+        return region == null ? null : draw(mState.topology().gatewaysOf(region), id -> true);
     }
 
     private String choosePeer() {
         Fleet fleet = mState.fleet();
         Instance self = mContext.self();
-        List<Instance> region = fleet.ofRegion(self.getRegion());
+        List<String> region = fleet.idsOfRegion(self.getRegion());
+        List<String> zone = fleet.idsOfZone(self.getZone());
         double crossing = 1 / (INTERVALS_PER_REGION * Math.max(1, region.size()));
         String otherRegion = chooseOtherRegion();
         if (otherRegion != null && mContext.random().nextDouble() < crossing) {
-            return draw(fleet.ofRegion(otherRegion), instance -> true);
+            return draw(fleet.idsOfRegion(otherRegion), id -> true);
         }
         String peer = null;
         if (mContext.random().nextDouble() < OWN_ZONE_SHARE) {
-            peer = draw(fleet.ofZone(self.getZone()), instance -> true);
+            peer = draw(zone, id -> true);
         }
-        if (peer == null) {
-            peer = draw(region, instance -> !instance.getZone().equals(self.getZone()));
+        if (peer == null && region.size() > zone.size()) {
+            peer = draw(region, id -> !isInOwnZone(id));
         }
         if (peer == null) {
-            peer = draw(fleet.ofZone(self.getZone()), instance -> true);
+            peer = draw(zone, id -> true);
         }
-        return peer == null ? draw(fleet.instances(), instance -> true) : peer;
-    }
-
-    private String chooseOtherRegion() {
-        List<String> regions = new ArrayList<>(mState.fleet().regions());
-        regions.remove(mContext.self().getRegion());
-        return regions.isEmpty() ? null : regions.get(mContext.random().nextInt(regions.size()));
+        return peer == null && otherRegion != null
+                ? draw(fleet.idsOfRegion(otherRegion), id -> true)
+                : peer;
     }
 
-    private String draw(List<Instance> instances, Predicate<Instance> filter) {
-        return draw(instances.stream().filter(filter).map(Instance::getId).toList());
+    private boolean isInOwnZone(String id) {
+        return mState.fleet().find(id).getZone().equals(mContext.self().getZone());
     }
 
-    /** Returns a random peer, if possible one that is not known to be leaving or silent. */
-    private String draw(List<String> ids) {
-        List<String> others = new ArrayList<>(ids);
-        others.remove(mContext.self().getId());
-        if (others.isEmpty()) {
+    private String chooseOtherRegion() {
+        List<String> regions = mState.fleet().regions();
+        String own = mContext.self().getRegion();
+        int others = regions.size() - (regions.contains(own) ? 1 : 0);
+        if (others <= 0) {
             return null;
         }
+        int index = mContext.random().nextInt(others);
+        int ownIndex = regions.indexOf(own);
+        return regions.get(ownIndex >= 0 && index >= ownIndex ? index + 1 : index);
+    }
+
+    /**
+     * Returns a random peer that passes a filter, if possible one that is not known to be leaving
+     * or silent; null if some draws find none.
+     */
+    private String draw(List<String> ids, Predicate<String> filter) {
         String drawn = null;
-        for (int draw = 0; draw < DRAWS; draw++) {
-            drawn = others.get(mContext.random().nextInt(others.size()));
-            Peer peer = mState.peers().find(drawn);
+        for (int draw = 0; draw < DRAWS && !ids.isEmpty(); draw++) {
+            String candidate = ids.get(mContext.random().nextInt(ids.size()));
+            if (candidate.equals(mContext.self().getId()) || !filter.test(candidate)) {
+                continue;
+            }
+            drawn = candidate;
+            Peer peer = mState.peers().find(candidate);
             boolean silent = peer != null && peer.unanswered() >= SILENT_AFTER_ASKS;
             if (peer == null || !silent && !peer.isLeaving()) {
-                return drawn;
+                return candidate;
             }
         }
         return drawn;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/StartSystem.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/StartSystem.java
@@ -1,13 +1,12 @@
 package org.foxtailmoor.core.distribution;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
+import org.foxtailmoor.core.membership.Fleet;
 import org.foxtailmoor.protocol.Document;
 import org.foxtailmoor.protocol.DocumentVersions;
 import org.foxtailmoor.protocol.generated.Advert;
@@ -137,50 +136,55 @@
             return false;
         }
         boolean settled = elapsedNanoseconds() >= SETTLE_NANOSECONDS;
-        Set<String> counted =
-                mAnswers.entrySet().stream()
-                        .filter(answer -> settled || answer.getValue().ready())
-                        .map(Map.Entry::getKey)
-                        .collect(Collectors.toSet());
-        List<Instance> live = livePeers(mState.fleet().instances());
-        List<Instance> answering =
-                live.stream().filter(peer -> counted.contains(peer.getId())).toList();
-        return answering.size() >= Math.min(ANSWERS_NEEDED, live.size())
-                && zones(answering) >= Math.min(ZONES_NEEDED, zones(live));
-    }
-
-    private List<Instance> livePeers(Collection<Instance> instances) {
-        String self = mContext.self().getId();
-        return instances.stream()
-                .filter(instance -> !instance.getLeaving() && !instance.getId().equals(self))
-                .toList();
+        List<Instance> answering = new ArrayList<>();
+        mAnswers.forEach(
+                (id, answer) -> {
+                    Instance peer = mState.fleet().find(id);
+                    if (peer != null && isLivePeer(peer) && (settled || answer.ready())) {
+                        answering.add(peer);
+                    }
+                });
+        Map<String, Integer> live = new HashMap<>(mState.fleet().liveByZone());
+        Instance self = mState.fleet().find(mContext.self().getId());
+        if (self != null && !self.getLeaving()) {
+            live.merge(self.getZone(), -1, Integer::sum);
+        }
+        int livePeers = live.values().stream().mapToInt(Integer::intValue).sum();
+        long liveZones = live.values().stream().filter(count -> count > 0).count();
+        long zones = answering.stream().map(Instance::getZone).distinct().count();
+        return answering.size() >= Math.min(ANSWERS_NEEDED, livePeers)
+                && zones >= Math.min(ZONES_NEEDED, liveZones);
     }
 
-    private static long zones(List<Instance> instances) {
-        return instances.stream().map(Instance::getZone).distinct().count();
+    private boolean isLivePeer(Instance instance) {
+        return !instance.getLeaving() && !instance.getId().equals(mContext.self().getId());
     }
 
     /** Returns random peers to ask: of the own region at first, then of the whole fleet. */
     private List<String> choosePeers() {
+        Fleet fleet = mState.fleet();
+        String region = mContext.self().getRegion();
+        boolean regionSuffices =
+                fleet.ofRegion(region).size() > ANSWERS_NEEDED
+                        && fleet.zonesOf(region).size() >= ZONES_NEEDED;
+        boolean nearOnly = regionSuffices && elapsedNanoseconds() < SETTLE_NANOSECONDS;
+        List<Instance> instances = nearOnly ? fleet.ofRegion(region) : fleet.instances();
         List<String> candidates = new ArrayList<>();
-        List<Instance> region = livePeers(mState.fleet().ofRegion(mContext.self().getRegion()));
-        boolean regionSuffices = region.size() >= ANSWERS_NEEDED && zones(region) >= ZONES_NEEDED;
-        if (regionSuffices && elapsedNanoseconds() < SETTLE_NANOSECONDS) {
-            region.forEach(instance -> candidates.add(instance.getId()));
-        } else {
-            livePeers(mState.fleet().instances())
-                    .forEach(instance -> candidates.add(instance.getId()));
+        for (Instance instance : instances) {
+            Answer answer = mAnswers.get(instance.getId());
+            if (isLivePeer(instance) && (answer == null || !answer.ready())) {
+                candidates.add(instance.getId());
+            }
         }
-        if (candidates.isEmpty()) {
+        if (instances.isEmpty()) {
             candidates.addAll(mState.seeds());
         }
         List<String> chosen = new ArrayList<>();
         while (chosen.size() < ASKED_PER_ROUND && !candidates.isEmpty()) {
             int index = mContext.random().nextInt(candidates.size());
-            String candidate = candidates.remove(index);
-            if (!mAnswers.containsKey(candidate) || !mAnswers.get(candidate).ready()) {
-                chosen.add(candidate);
-            }
+            chosen.add(candidates.get(index));
+            candidates.set(index, candidates.get(candidates.size() - 1));
+            candidates.remove(candidates.size() - 1);
         }
         return chosen;
     }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/membership/Fleet.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/membership/Fleet.java
@@ -24,6 +24,10 @@
     private final SortedMap<String, List<Instance>> mByZone = new TreeMap<>();
     private final SortedMap<String, List<Instance>> mByRegion = new TreeMap<>();
     private final Map<String, List<Instance>> mByService = new HashMap<>();
+    private final Map<String, List<String>> mIdsByZone;
+    private final Map<String, List<String>> mIdsByRegion;
+    private final List<String> mRegions;
+    private final Map<String, Integer> mLiveByZone = new HashMap<>();
 
     private Fleet(Collection<Instance> instances) {
         mInstances = List.copyOf(instances);
@@ -32,7 +36,13 @@
             add(mByZone, instance.getZone(), instance);
             add(mByRegion, instance.getRegion(), instance);
             add(mByService, instance.getServiceId(), instance);
+            if (!instance.getLeaving()) {
+                mLiveByZone.merge(instance.getZone(), 1, Integer::sum);
+            }
         }
+        mIdsByZone = ids(mByZone);
+        mIdsByRegion = ids(mByRegion);
+        mRegions = List.copyOf(mByRegion.keySet());
     }
 
     /** Creates a fleet; the order of the instances is kept in every list. */
@@ -60,14 +70,29 @@
         return Collections.unmodifiableList(mByRegion.getOrDefault(region, List.of()));
     }
 
+    /** Returns the ids of the instances of a zone, unmodifiable. */
+    public List<String> idsOfZone(String zone) {
+        return mIdsByZone.getOrDefault(zone, List.of());
+    }
+
+    /** Returns the ids of the instances of a region, unmodifiable. */
+    public List<String> idsOfRegion(String region) {
+        return mIdsByRegion.getOrDefault(region, List.of());
+    }
+
     /** Returns the instances of a service, unmodifiable. */
     public List<Instance> ofService(String serviceId) {
         return Collections.unmodifiableList(mByService.getOrDefault(serviceId, List.of()));
     }
 
+    /** Returns the number of instances that are not leaving in each zone that has any. */
+    public Map<String, Integer> liveByZone() {
+        return Collections.unmodifiableMap(mLiveByZone);
+    }
+
     /** Returns the regions that have instances, sorted by name. */
     public List<String> regions() {
-        return List.copyOf(mByRegion.keySet());
+        return mRegions;
     }
 
     /** Returns the zones that have instances, sorted by name. */
@@ -80,6 +105,12 @@
         return ofRegion(region).stream().map(Instance::getZone).distinct().sorted().toList();
     }
 
+    private static Map<String, List<String>> ids(Map<String, List<Instance>> instances) {
+        Map<String, List<String>> ids = new HashMap<>();
+        instances.forEach((key, list) -> ids.put(key, list.stream().map(Instance::getId).toList()));
+        return ids;
+    }
+
     private static void add(Map<String, List<Instance>> map, String key, Instance instance) {
         map.computeIfAbsent(key, name -> new ArrayList<>()).add(instance);
     }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/distribution/ConvergenceMeasurement.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/distribution/ConvergenceMeasurement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.foxtailmoor.protocol.Document;
 import org.foxtailmoor.protocol.generated.ControlMessage;
 import org.foxtailmoor.protocol.generated.Instance;
@@ -26,9 +27,7 @@
         long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
         int changes = arguments.length > 1 ? Integer.parseInt(arguments[1]) : 3;
         System.out.println("17 zones x 171 nodes, 6 regions, seed " + seed);
-        for (int deadTenths : new int[] {0, 1, 3}) {
-            measure(seed, deadTenths, changes);
-        }
+        IntStream.of(0, 1, 3).parallel().forEach(dead -> measure(seed, dead, changes));
     }
 
     private static void measure(long seed, int deadTenths, int changes) {
