--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -0,0 +1,117 @@
+package org.foxtailmoor.node.data;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.Cancel;
+import org.foxtailmoor.protocol.generated.GoingAway;
+import org.foxtailmoor.protocol.generated.LinkHello;
+import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.Ping;
+import org.foxtailmoor.protocol.generated.Pong;
+import org.foxtailmoor.protocol.generated.Refusal;
+import org.foxtailmoor.protocol.generated.RequestMessage;
+import org.foxtailmoor.protocol.generated.RequestStart;
+import org.foxtailmoor.protocol.generated.ResponseStart;
+
+/** Builds the frames of a link and the handlers that encode and decode them. */
+final class Frames {
+    /**
+     * Bytes of body in one chunk; small enough that a short answer is not held up by a long one.
+     */
+    static final int CHUNK_BYTES = 65_536;
+
+    /** Largest frame: a chunk, or a start with all headers that the HTTP codec accepts. */
+    static final int MAXIMUM_FRAME_BYTES = 2 * CHUNK_BYTES;
+
+    /** Stream number of messages that concern the whole link. */
+    static final long LINK_STREAM = 0;
+
+    private static final int FLUSH_AFTER_FRAMES = 256;
+
+    private Frames() {}
+
+    static void addHandlers(ChannelPipeline pipeline) {
+        // One system call for the frames that one pass of the event loop writes.
+        pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true));
+        pipeline.addLast(new BoundedFrameDecoder(MAXIMUM_FRAME_BYTES));
+        pipeline.addLast(new ProtobufDecoder(RequestMessage.getDefaultInstance()));
+        pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
+        pipeline.addLast(new ProtobufEncoder());
+    }
+
+    static RequestMessage hello(String instanceId, long incarnation) {
+        LinkHello hello =
+                LinkHello.newBuilder()
+                        .setInstanceId(instanceId)
+                        .setIncarnation(incarnation)
+                        .build();
+        return RequestMessage.newBuilder().setLinkHello(hello).build();
+    }
+
+    static RequestMessage ping(long sequence) {
+        return RequestMessage.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)).build();
+    }
+
+    static RequestMessage pong(long sequence) {
+        return RequestMessage.newBuilder().setPong(Pong.newBuilder().setSequence(sequence)).build();
+    }
+
+    static RequestMessage goingAway() {
+        return RequestMessage.newBuilder().setGoingAway(GoingAway.getDefaultInstance()).build();
+    }
+
+    static RequestMessage cancel(long stream) {
+        return RequestMessage.newBuilder()
+                .setStream(stream)
+                .setCancel(Cancel.getDefaultInstance())
+                .build();
+    }
+
+    static RequestMessage requestStart(long stream, RequestStart start) {
+        return RequestMessage.newBuilder().setStream(stream).setRequestStart(start).build();
+    }
+
+    static RequestMessage responseStart(long stream, Outcome.Answer answer, Load load) {
+        ResponseStart start =
+                ResponseStart.newBuilder()
+                        .setStatus(answer.status())
+                        .addAllHeaders(answer.headers())
+                        .setBodyBytes(answer.body().length())
+                        .setLoad(load)
+                        .setReplayed(answer.replayed())
+                        .build();
+        return RequestMessage.newBuilder().setStream(stream).setResponseStart(start).build();
+    }
+
+    static RequestMessage refusal(long stream, Outcome.Failure failure, Load load) {
+        Refusal refusal =
+                Refusal.newBuilder()
+                        .setKind(failure.kind().name())
+                        .setMessage(failure.message())
+                        .setRetryAfterMilliseconds(failure.retryAfterMilliseconds())
+                        .setLoad(load)
+                        .build();
+        return RequestMessage.newBuilder().setStream(stream).setRefusal(refusal).build();
+    }
+
+    /** Returns a chunk that refers to the body's memory; encode it before the body is released. */
+    static RequestMessage chunk(long stream, HeldBody body, int offset) {
+        int bytes = Math.min(CHUNK_BYTES, body.length() - offset);
+        ByteString content =
+                bytes == 0
+                        ? ByteString.EMPTY
+                        : UnsafeByteOperations.unsafeWrap(body.content().nioBuffer(offset, bytes));
+        BodyChunk chunk =
+                BodyChunk.newBuilder()
+                        .setContent(content)
+                        .setLast(offset + bytes == body.length())
+                        .build();
+        return RequestMessage.newBuilder().setStream(stream).setBodyChunk(chunk).build();
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeRequest.java
@@ -0,0 +1,18 @@
+package org.foxtailmoor.node.data;
+
+import java.util.Objects;
+import org.foxtailmoor.protocol.generated.RequestStart;
+
+/**
+ * Request as it reaches its home.
+ *
+ * @param start request line, headers and routing facts
+ * @param body whole body; whoever is given the request owns it
+ * @param deadlineNanoseconds deadline by the node's ticker
+ */
+record HomeRequest(RequestStart start, HeldBody body, long deadlineNanoseconds) {
+    HomeRequest {
+        Objects.requireNonNull(start, "start");
+        Objects.requireNonNull(body, "body");
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -0,0 +1,107 @@
+package org.foxtailmoor.node.data;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Accepts links from other nodes on the node port. */
+final class LinkServer {
+    private static final int MAXIMUM_LINKS = 8_192;
+
+    private final String mInstanceId;
+    private final long mIncarnation;
+    private final Home mHome;
+    private final BodyMemory mMemory;
+    private final Ticker mTicker;
+    private final Set<LinkServerHandler> mLinks = new LinkedHashSet<>();
+    private Channel mChannel;
+
+    LinkServer(String instanceId, long incarnation, Home home, BodyMemory memory, Ticker ticker) {
+        mInstanceId = instanceId;
+        mIncarnation = incarnation;
+        mHome = home;
+        mMemory = memory;
+        mTicker = ticker;
+    }
+
+    /** Starts listening; the future's channel has the bound address. */
+    ChannelFuture bind(EventLoopGroup group, InetSocketAddress address) {
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        accept(channel);
+                                    }
+                                })
+                        .bind(address);
+        mChannel = bound.channel();
+        return bound;
+    }
+
+    String instanceId() {
+        return mInstanceId;
+    }
+
+    long incarnation() {
+        return mIncarnation;
+    }
+
+    /** Returns the number of open links. */
+    int openLinks() {
+        return mLinks.size();
+    }
+
+    /** Closes silent links. */
+    void tick() {
+        new ArrayList<>(mLinks).forEach(LinkServerHandler::tick);
+    }
+
+    /** Tells every peer that this upstream is leaving. */
+    void sendGoingAway() {
+        mLinks.forEach(LinkServerHandler::sendGoingAway);
+    }
+
+    /** Returns whether no request is open on any link. */
+    boolean isIdle() {
+        return mLinks.stream().allMatch(LinkServerHandler::isIdle);
+    }
+
+    /** Stops listening. */
+    void close() {
+        if (mChannel != null) {
+            mChannel.close();
+        }
+    }
+
+    void onOpened(LinkServerHandler link) {
+        mLinks.add(link);
+    }
+
+    void onClosed(LinkServerHandler link) {
+        mLinks.remove(link);
+    }
+
+    private void accept(SocketChannel channel) {
+        if (mLinks.size() >= MAXIMUM_LINKS) {
+            channel.close();
+            return;
+        }
+        Frames.addHandlers(channel.pipeline());
+        channel.pipeline().addLast(new LinkServerHandler(channel, mHome, mMemory, mTicker, this));
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -0,0 +1,204 @@
+package org.foxtailmoor.node.data;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.RequestMessage;
+import org.foxtailmoor.protocol.generated.RequestStart;
+
+/**
+ * The home's end of one link: collects requests, hands them to the {@link Home} and sends the
+ * answers back. Loss of the link cancels the requests that came over it.
+ */
+final class LinkServerHandler extends SimpleChannelInboundHandler<RequestMessage> {
+    private static final class Stream {
+        private final RequestStart mStart;
+        private final long mDeadlineNanoseconds;
+        private BodyCollector mBody;
+        private Cancellable mWork = Cancellable.NONE;
+
+        Stream(RequestStart start, long deadlineNanoseconds, BodyCollector body) {
+            mStart = start;
+            mDeadlineNanoseconds = deadlineNanoseconds;
+            mBody = body;
+        }
+
+        void end() {
+            if (mBody != null) {
+                mBody.discard();
+                mBody = null;
+            }
+            mWork.cancel();
+        }
+    }
+
+    private final Channel mChannel;
+    private final Home mHome;
+    private final BodyMemory mMemory;
+    private final Ticker mTicker;
+    private final LinkServer mServer;
+    private final BodySender mSender;
+    private final LongObjectHashMap<Stream> mStreams = new LongObjectHashMap<>();
+    private long mFrameReceivedNanoseconds;
+
+    LinkServerHandler(
+            Channel channel, Home home, BodyMemory memory, Ticker ticker, LinkServer server) {
+        mChannel = channel;
+        mHome = home;
+        mMemory = memory;
+        mTicker = ticker;
+        mServer = server;
+        mSender = new BodySender(channel);
+        mFrameReceivedNanoseconds = ticker.nanoTime();
+    }
+
+    /** Closes the link when the peer has been silent for too long. */
+    void tick() {
+        if (mTicker.nanoTime() - mFrameReceivedNanoseconds >= Link.SILENCE_NANOSECONDS) {
+            mChannel.close();
+        }
+    }
+
+    /** Tells the peer that this upstream is leaving. */
+    void sendGoingAway() {
+        mChannel.writeAndFlush(Frames.goingAway());
+    }
+
+    /** Returns whether no request is open and every answer has been handed to the channel. */
+    boolean isIdle() {
+        return mStreams.isEmpty();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mServer.onOpened(this);
+        if (mHome.isLeaving()) {
+            sendGoingAway();
+        }
+        context.fireChannelActive();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, RequestMessage message) {
+        mFrameReceivedNanoseconds = mTicker.nanoTime();
+        long number = message.getStream();
+        switch (message.getKindCase()) {
+            case REQUEST_START -> onRequestStart(number, message.getRequestStart());
+            case BODY_CHUNK -> onChunk(number, message.getBodyChunk());
+            case CANCEL -> onCancel(number);
+            case PING -> mChannel.writeAndFlush(Frames.pong(message.getPing().getSequence()));
+            case LINK_HELLO ->
+                    mChannel.writeAndFlush(
+                            Frames.hello(mServer.instanceId(), mServer.incarnation()));
+            default -> {
+                // A pong only proves that the peer is there; other kinds come from the home.
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        mSender.pump();
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mSender.close();
+        ArrayList<Stream> open = new ArrayList<>(mStreams.values());
+        mStreams.clear();
+        open.forEach(Stream::end);
+        mServer.onClosed(this);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void onRequestStart(long number, RequestStart start) {
+        if (number == Frames.LINK_STREAM || mStreams.containsKey(number)) {
+            mChannel.close();
+            return;
+        }
+        if (mStreams.size() >= Link.MAXIMUM_STREAMS) {
+            refuse(number, ErrorKind.OVERLOADED, "too many requests on one link");
+            return;
+        }
+        int bytes = start.getBodyBytes();
+        BodyCollector body =
+                bytes < 0 ? null : BodyCollector.of(mMemory, mChannel.alloc(), bytes, bytes);
+        if (body == null) {
+            refuse(number, ErrorKind.OVERLOADED, "the home node's body memory is full");
+            return;
+        }
+        long deadline =
+                mTicker.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                Integer.toUnsignedLong(start.getDeadlineMilliseconds()));
+        mStreams.put(number, new Stream(start, deadline, body));
+    }
+
+    private void onChunk(long number, BodyChunk chunk) {
+        Stream stream = mStreams.get(number);
+        if (stream == null || stream.mBody == null) {
+            return;
+        }
+        boolean fits = stream.mBody.append(chunk.getContent());
+        if (!fits || (chunk.getLast() && !stream.mBody.isWhole())) {
+            mStreams.remove(number);
+            stream.end();
+            refuse(number, ErrorKind.BAD_REQUEST, "the request has not its announced length");
+            return;
+        }
+        if (chunk.getLast()) {
+            submit(number, stream);
+        }
+    }
+
+    private void submit(long number, Stream stream) {
+        HeldBody body = stream.mBody.finish();
+        stream.mBody = null;
+        HomeRequest request = new HomeRequest(stream.mStart, body, stream.mDeadlineNanoseconds);
+        stream.mWork = mHome.submit(request, outcome -> onOutcome(number, outcome));
+    }
+
+    private void onOutcome(long number, Outcome outcome) {
+        if (mStreams.get(number) == null) {
+            outcome.release();
+            return;
+        }
+        if (outcome instanceof Outcome.Answer answer) {
+            mSender.send(
+                    Frames.responseStart(number, answer, mHome.load()),
+                    answer.body(),
+                    () -> mStreams.remove(number));
+            return;
+        }
+        mStreams.remove(number);
+        refuse(number, (Outcome.Failure) outcome);
+    }
+
+    private void onCancel(long number) {
+        Stream stream = mStreams.remove(number);
+        if (stream != null) {
+            mSender.forget(number);
+            stream.end();
+        }
+    }
+
+    private void refuse(long number, ErrorKind kind, String message) {
+        refuse(number, Outcome.Failure.of(kind, message));
+    }
+
+    private void refuse(long number, Outcome.Failure failure) {
+        mChannel.writeAndFlush(Frames.refusal(number, failure, mHome.load()));
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -0,0 +1,257 @@
+package org.foxtailmoor.node.data;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Ticker;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.Header;
+
+/** One HTTP/1.1 connection to the target, which carries one request at a time. */
+final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final int STATUS_NO_CONTENT = 204;
+    private static final int STATUS_NOT_MODIFIED = 304;
+    private static final int STATUS_SWITCHING_PROTOCOLS = 101;
+
+    /** Is told when the connection can be used again and when it has ended. */
+    interface Pool {
+        /** Is called when an answer is complete and the target keeps the connection open. */
+        void onIdle(TargetConnection connection);
+
+        /** Is called once when the connection has ended. */
+        void onClosed(TargetConnection connection);
+    }
+
+    private final Channel mChannel;
+    private final BodyMemory mMemory;
+    private final Ticker mTicker;
+    private final Pool mPool;
+    private TargetRequest mRequest;
+    private TargetListener mListener;
+    private HttpResponse mResponse;
+    private List<Header> mHeaders;
+    private BodyCollector mBody;
+    private boolean mInterim;
+    private boolean mUsed;
+    private long mIdleSinceNanoseconds;
+
+    TargetConnection(Channel channel, BodyMemory memory, Ticker ticker, Pool pool) {
+        mChannel = channel;
+        mMemory = memory;
+        mTicker = ticker;
+        mPool = pool;
+        mIdleSinceNanoseconds = ticker.nanoTime();
+    }
+
+    /** Returns how long the connection has carried no request, in nanoseconds. */
+    long idleNanoseconds() {
+        return mTicker.nanoTime() - mIdleSinceNanoseconds;
+    }
+
+    /** Returns whether the connection carried a request before. */
+    boolean isUsed() {
+        return mUsed;
+    }
+
+    boolean isOpen() {
+        return mChannel.isActive();
+    }
+
+    /** Sends a request and tells the listener its outcome. */
+    void send(TargetRequest request, TargetListener listener) {
+        mRequest = request;
+        mListener = listener;
+        mResponse = null;
+        mInterim = false;
+        mChannel.writeAndFlush(encode(request));
+    }
+
+    /** Returns whether the target has answered the request in flight with any byte of a head. */
+    boolean hasResponse() {
+        return mResponse != null || mInterim;
+    }
+
+    /** Ends the connection; a request in flight gets no outcome any more. */
+    void abort() {
+        mListener = null;
+        discardBody();
+        mChannel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mListener == null) {
+            // Bytes after the end of an answer can't belong to a request.
+            mChannel.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("the target's answer is not valid HTTP", false);
+            return;
+        }
+        if (message instanceof HttpResponse response && !onHead(response)) {
+            return;
+        }
+        if (message instanceof HttpContent content) {
+            onContent(content);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (mListener != null) {
+            fail("the target ended the connection before its answer was complete", true);
+        }
+        mPool.onClosed(this);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private boolean onHead(HttpResponse response) {
+        int status = response.status().code();
+        mInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (status == STATUS_SWITCHING_PROTOCOLS) {
+            fail("the target changed the protocol, which is not supported", false);
+            return false;
+        }
+        if (mInterim) {
+            return true;
+        }
+        boolean framed =
+                isBodiless(status)
+                        || HttpUtil.isTransferEncodingChunked(response)
+                        || HttpUtil.isContentLengthSet(response);
+        if (!framed) {
+            // The end of such an answer can't be told from a lost connection.
+            fail("the target's answer has neither a length nor chunks", false);
+            return false;
+        }
+        long length = isBodiless(status) ? 0 : HttpUtil.getContentLength(response, -1L);
+        mBody = length > Integer.MAX_VALUE ? null : collector((int) length);
+        if (mBody == null) {
+            fail("the target's answer of " + length + " bytes exceeds the body memory", false);
+            return false;
+        }
+        mResponse = response;
+        mHeaders = HeaderFields.endToEnd(response.headers());
+        keepLengthOfHead(response);
+        return true;
+    }
+
+    private BodyCollector collector(int length) {
+        int limit = length == BodyCollector.UNKNOWN_LENGTH ? Integer.MAX_VALUE : length;
+        return BodyCollector.of(mMemory, mChannel.alloc(), length, limit);
+    }
+
+    private void keepLengthOfHead(HttpResponse response) {
+        String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (isHead() && length != null) {
+            mHeaders.add(HeaderFields.of(HttpHeaderNames.CONTENT_LENGTH.toString(), length));
+        }
+    }
+
+    private void onContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (mInterim) {
+            mInterim = !last;
+            return;
+        }
+        if (!mBody.append(content.content())) {
+            fail("the target's answer exceeds the body memory", false);
+            return;
+        }
+        if (!last) {
+            return;
+        }
+        if (!mBody.isWhole()) {
+            fail("the target's answer has not its announced length", false);
+            return;
+        }
+        finish();
+    }
+
+    private void finish() {
+        TargetListener listener = mListener;
+        int status = mResponse.status().code();
+        Outcome.Answer answer = new Outcome.Answer(status, mHeaders, mBody.finish(), false);
+        boolean keepAlive = HttpUtil.isKeepAlive(mResponse);
+        mBody = null;
+        mListener = null;
+        mRequest = null;
+        mUsed = true;
+        mIdleSinceNanoseconds = mTicker.nanoTime();
+        if (keepAlive && mChannel.isActive()) {
+            mPool.onIdle(this);
+        } else {
+            mChannel.close();
+        }
+        listener.onAnswer(answer);
+    }
+
+    private void fail(String message, boolean crashed) {
+        TargetListener listener = mListener;
+        abort();
+        listener.onFailure(Outcome.Failure.of(ErrorKind.UPSTREAM_FAILED, message), crashed);
+    }
+
+    private void discardBody() {
+        if (mBody != null) {
+            mBody.discard();
+            mBody = null;
+        }
+    }
+
+    private boolean isHead() {
+        return HttpMethod.HEAD.name().equals(mRequest.method());
+    }
+
+    private boolean isBodiless(int status) {
+        return isHead() || status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+    }
+
+    private FullHttpRequest encode(TargetRequest request) {
+        FullHttpRequest message =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(request.method()),
+                        request.path(),
+                        request.body().length() == 0
+                                ? Unpooled.EMPTY_BUFFER
+                                : request.body().content().retainedDuplicate());
+        for (Header header : request.headers()) {
+            message.headers().add(header.getName(), header.getValue());
+        }
+        long left = request.deadlineNanoseconds() - mTicker.nanoTime();
+        message.headers()
+                .set(HeaderFields.DEADLINE, Math.max(0, TimeUnit.NANOSECONDS.toMillis(left)));
+        if (hasBody(request)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
+        }
+        return message;
+    }
+
+    private static boolean hasBody(TargetRequest request) {
+        return switch (request.method()) {
+            case "GET", "HEAD", "DELETE", "OPTIONS" -> request.body().length() > 0;
+            default -> true;
+        };
+    }
+}
