--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/BodyCollector.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/BodyCollector.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import org.foxtailmoor.core.admission.BodyMemory;
 
 /**
  * Collects a body from pieces into memory reserved from a {@link BodyMemory}.
@@ -113,7 +114,7 @@
             mContent.release();
             mContent = null;
         }
-        mMemory.giveBack(mReservedBytes);
+        mMemory.release(mReservedBytes);
         mReservedBytes = 0;
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeldBody.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeldBody.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.util.AbstractReferenceCounted;
 import io.netty.util.ReferenceCounted;
+import org.foxtailmoor.core.admission.BodyMemory;
 
 /**
  * A whole request or answer body that counts against the node's {@link BodyMemory} until its last
@@ -53,6 +54,6 @@
     @Override
     protected void deallocate() {
         mContent.release();
-        mMemory.giveBack(mReservedBytes);
+        mMemory.release(mReservedBytes);
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Home.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Home.java
@@ -11,7 +11,7 @@
      * @param listener is told the outcome unless the request is cancelled; may be called at once
      * @return cancellation of the request
      */
-    Cancellable submit(HomeRequest request, OutcomeListener listener);
+    Cancellable submit(HomeCall request, OutcomeListener listener);
 
     /** Returns the load of the target now. */
     Load load();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeRequest.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeCall.java
@@ -10,8 +10,8 @@
  * @param body whole body; whoever is given the request owns it
  * @param deadlineNanoseconds deadline by the node's ticker
  */
-record HomeRequest(RequestStart start, HeldBody body, long deadlineNanoseconds) {
-    HomeRequest {
+record HomeCall(RequestStart start, HeldBody body, long deadlineNanoseconds) {
+    HomeCall {
         Objects.requireNonNull(start, "start");
         Objects.requireNonNull(body, "body");
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.protocol.generated.BodyChunk;
 import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.Refusal;
@@ -49,12 +50,12 @@
     }
 
     private static final class Stream {
-        private final OutcomeListener mListener;
+        private final AttemptListener mListener;
         private boolean mSent;
         private ResponseStart mStart;
         private BodyCollector mBody;
 
-        Stream(OutcomeListener listener) {
+        Stream(AttemptListener listener) {
             mListener = listener;
         }
 
@@ -131,7 +132,7 @@
      * @param listener is told the outcome unless the request is cancelled
      * @return cancellation, which also tells the peer
      */
-    Cancellable open(RequestStart start, HeldBody body, OutcomeListener listener) {
+    Cancellable open(RequestStart start, HeldBody body, AttemptListener listener) {
         long number = ++mLastStream;
         Stream stream = new Stream(listener);
         mStreams.put(number, stream);
@@ -203,15 +204,7 @@
 
     private static void lose(Stream stream) {
         stream.discardBody();
-        Outcome.Failure failure =
-                stream.mSent
-                        ? Outcome.Failure.of(
-                                ErrorKind.UPSTREAM_FAILED, "the link to the home node was lost")
-                        : Outcome.Failure.of(
-                                ErrorKind.NO_UPSTREAM,
-                                "the link to the home node was lost before the whole request was"
-                                        + " sent");
-        stream.mListener.onOutcome(failure);
+        stream.mListener.onLost(stream.mSent);
     }
 
     private void cancel(long number) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.foxtailmoor.core.admission.BodyMemory;
 
 /** Accepts links from other nodes on the node port. */
 final class LinkServer {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.protocol.generated.BodyChunk;
 import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
@@ -166,7 +167,7 @@
     private void submit(long number, Stream stream) {
         HeldBody body = stream.mBody.finish();
         stream.mBody = null;
-        HomeRequest request = new HomeRequest(stream.mStart, body, stream.mDeadlineNanoseconds);
+        HomeCall request = new HomeCall(stream.mStart, body, stream.mDeadlineNanoseconds);
         stream.mWork = mHome.submit(request, outcome -> onOutcome(number, outcome));
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.BodyMemory;
 
 /**
  * Sends requests to the node's target over a pool of HTTP/1.1 connections.
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.protocol.generated.Header;
 
 /** One HTTP/1.1 connection to the target, which carries one request at a time. */
