--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import org.foxtailmoor.protocol.generated.BodyChunk;
@@ -39,7 +40,7 @@
     static void addHandlers(ChannelPipeline pipeline) {
         // One system call for the frames that one pass of the event loop writes.
         pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true));
-        pipeline.addLast(new BoundedFrameDecoder(MAXIMUM_FRAME_BYTES));
+        pipeline.addLast(new ProtobufVarint32FrameDecoder(MAXIMUM_FRAME_BYTES));
         pipeline.addLast(new ProtobufDecoder(RequestMessage.getDefaultInstance()));
         pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
         pipeline.addLast(new ProtobufEncoder());
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeCall.java
@@ -7,7 +7,7 @@
  * Request as it reaches its home.
  *
  * @param start request line, headers and routing facts
- * @param body whole body; whoever is given the request owns it
+ * @param body whole body; whoever is given the call owns it
  * @param deadlineNanoseconds deadline by the node's ticker
  */
 record HomeCall(RequestStart start, HeldBody body, long deadlineNanoseconds) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -45,8 +45,12 @@
         /** Is called when the peer's upstream is leaving. */
         void onGoingAway(Link link);
 
-        /** Is called once, after every open stream got its outcome. */
-        void onClosed(Link link);
+        /**
+         * Is called once, after every open stream got its outcome.
+         *
+         * @param failed whether requests were open or the peer was silent
+         */
+        void onClosed(Link link, boolean failed);
     }
 
     private static final class Stream {
@@ -78,6 +82,7 @@
     private long mFrameReceivedNanoseconds;
     private boolean mAnswered;
     private boolean mClosed;
+    private boolean mSilent;
 
     /**
      * Creates the handler of a connected channel, which has the handlers of {@link Frames} already.
@@ -147,6 +152,7 @@
         }
         long now = mTicker.nanoTime();
         if (now - mFrameReceivedNanoseconds >= SILENCE_NANOSECONDS) {
+            mSilent = true;
             close();
         } else if (now - mPingSentNanoseconds >= PING_NANOSECONDS) {
             sendPing();
@@ -193,7 +199,7 @@
         List<Stream> open = new ArrayList<>(mStreams.values());
         mStreams.clear();
         open.forEach(Link::lose);
-        mListener.onClosed(this);
+        mListener.onClosed(this, mSilent || !open.isEmpty());
         context.fireChannelInactive();
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Ticker;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.routing.Upstream;
@@ -19,6 +20,7 @@
     private final Ticker mTicker;
     private final UpstreamTable mUpstreams;
     private final Map<String, Peer> mPeers = new HashMap<>();
+    private final List<Peer> mRetired = new ArrayList<>();
 
     Links(
             EventLoop loop,
@@ -50,6 +52,7 @@
         if (peer == null || !peer.isAt(upstream)) {
             if (peer != null) {
                 peer.retire();
+                mRetired.add(peer);
             }
             peer = new Peer(this, upstream);
             mPeers.put(upstream.id(), peer);
@@ -65,6 +68,8 @@
                 mPeers.remove(peer.upstream().id(), peer);
             }
         }
+        mRetired.forEach(Peer::tick);
+        mRetired.removeIf(Peer::isUnused);
     }
 
     /** Returns the number of peers with a link or an attempt to open one. */
@@ -75,6 +80,7 @@
     /** Closes every link; open requests fail. */
     void close() {
         new ArrayList<>(mPeers.values()).forEach(Peer::close);
+        mRetired.forEach(Peer::close);
     }
 
     EventLoop loop() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -53,6 +53,7 @@
     private Link mChallenger;
     private boolean mConnecting;
     private boolean mRetired;
+    private boolean mLeaving;
     private long mUsedNanoseconds;
 
     Peer(Links links, Upstream upstream) {
@@ -79,10 +80,11 @@
     /** Sends a request over the current link, or when the link is open. */
     Cancellable send(RequestStart start, HeldBody body, AttemptListener listener) {
         mUsedNanoseconds = mLinks.ticker().nanoTime();
-        if (mCurrent != null && mCurrent.hasRoom()) {
-            return mCurrent.open(start, body, listener);
+        Link preferred = preferred();
+        if (preferred != null && preferred.hasRoom()) {
+            return preferred.open(start, body, listener);
         }
-        if (mCurrent != null || mWaiting.size() >= MAXIMUM_WAITING) {
+        if (preferred != null || mWaiting.size() >= MAXIMUM_WAITING) {
             body.release();
             mLinks.loop().execute(() -> listener.onLost(false));
             return Cancellable.NONE;
@@ -127,11 +129,12 @@
 
     @Override
     public void onGoingAway(Link link) {
+        mLeaving = true;
         mLinks.upstreams().markLeaving(mUpstream.id());
     }
 
     @Override
-    public void onClosed(Link link) {
+    public void onClosed(Link link, boolean failed) {
         mOpen.remove(link);
         if (link == mChallenger) {
             mChallenger = null;
@@ -139,14 +142,28 @@
         if (link == mCurrent) {
             mCurrent = mChallenger;
             mChallenger = null;
-            LinkState state = mCurrent == null ? LinkState.UNOPENED : LinkState.OPEN;
-            mLinks.upstreams().setLinkState(mUpstream.id(), state);
+            mLinks.upstreams().setLinkState(mUpstream.id(), stateAfter(failed));
         }
     }
 
+    private LinkState stateAfter(boolean failed) {
+        if (mCurrent != null) {
+            return LinkState.OPEN;
+        }
+        return failed ? LinkState.FAILED : LinkState.UNOPENED;
+    }
+
+    private Link preferred() {
+        boolean overtaken =
+                mChallenger != null && mChallenger.hasAnswered() && mCurrent.isUnansweredFor(0);
+        return overtaken ? mChallenger : mCurrent;
+    }
+
     private boolean isIdle(Link link) {
-        return link.openStreams() == 0
-                && mLinks.ticker().nanoTime() - mUsedNanoseconds >= IDLE_NANOSECONDS;
+        if (link.openStreams() > 0) {
+            return false;
+        }
+        return mLeaving || mLinks.ticker().nanoTime() - mUsedNanoseconds >= IDLE_NANOSECONDS;
     }
 
     /** Replaces a link that has stopped to answer while a newer one answers. */
@@ -159,9 +176,8 @@
             return;
         }
         if (!mCurrent.isUnansweredFor(0)) {
-            mChallenger.close();
-        } else if (mChallenger.hasAnswered()
-                && mCurrent.isUnansweredFor(OVERTAKING_NANOSECONDS)) {
+            mChallenger = null;
+        } else if (mChallenger.hasAnswered() && mCurrent.isUnansweredFor(OVERTAKING_NANOSECONDS)) {
             mCurrent.close();
         }
     }
