--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
@@ -0,0 +1,98 @@
+package org.foxtailmoor.node.data;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.foxtailmoor.base.ErrorKind;
+
+/** Metrics of the data side. Timers record nanoseconds. */
+final class DataMetrics {
+    private static final String PREFIX = "foxtailmoor.";
+
+    private final MetricRegistry mRegistry;
+    private final Timer mEntryDuration;
+    private final Timer mHomeDuration;
+    private final Timer mTargetDuration;
+    private final Counter mEntryRequests;
+    private final Counter mEntryRetries;
+    private final Counter mEntryCancelled;
+    private final Counter mHomeRequests;
+    private final Counter mHomeReplayed;
+    private final Counter mTargetCrashes;
+    private final Map<ErrorKind, Counter> mEntryErrors = new EnumMap<>(ErrorKind.class);
+    private final Map<ErrorKind, Counter> mHomeRefusals = new EnumMap<>(ErrorKind.class);
+
+    DataMetrics(MetricRegistry registry) {
+        mRegistry = registry;
+        mEntryDuration = registry.timer(PREFIX + "entry.duration_nanoseconds");
+        mHomeDuration = registry.timer(PREFIX + "home.duration_nanoseconds");
+        mTargetDuration = registry.timer(PREFIX + "target.duration_nanoseconds");
+        mEntryRequests = registry.counter(PREFIX + "entry.requests");
+        mEntryRetries = registry.counter(PREFIX + "entry.retries");
+        mEntryCancelled = registry.counter(PREFIX + "entry.cancelled_requests");
+        mHomeRequests = registry.counter(PREFIX + "home.requests");
+        mHomeReplayed = registry.counter(PREFIX + "home.replayed_answers");
+        mTargetCrashes = registry.counter(PREFIX + "target.crashed_requests");
+    }
+
+    /** Time from the head of a request to its outcome, at the entry. */
+    Timer entryDuration() {
+        return mEntryDuration;
+    }
+
+    /** Time from the whole request to its outcome, at the home. */
+    Timer homeDuration() {
+        return mHomeDuration;
+    }
+
+    /** Time from dispatch to the whole answer of the target. */
+    Timer targetDuration() {
+        return mTargetDuration;
+    }
+
+    Counter entryRequests() {
+        return mEntryRequests;
+    }
+
+    Counter entryRetries() {
+        return mEntryRetries;
+    }
+
+    Counter entryCancelled() {
+        return mEntryCancelled;
+    }
+
+    Counter homeRequests() {
+        return mHomeRequests;
+    }
+
+    Counter homeReplayed() {
+        return mHomeReplayed;
+    }
+
+    Counter targetCrashes() {
+        return mTargetCrashes;
+    }
+
+    void countEntryError(ErrorKind kind) {
+        mEntryErrors
+                .computeIfAbsent(kind, k -> mRegistry.counter(PREFIX + "entry.errors." + k))
+                .inc();
+    }
+
+    void countHomeRefusal(ErrorKind kind) {
+        mHomeRefusals
+                .computeIfAbsent(kind, k -> mRegistry.counter(PREFIX + "home.refusals." + k))
+                .inc();
+    }
+
+    /** Registers a gauge; a gauge with the same name is replaced. */
+    void gauge(String name, LongSupplier value) {
+        mRegistry.remove(PREFIX + name);
+        mRegistry.registerGauge(PREFIX + name, (Gauge<Long>) value::getAsLong);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -0,0 +1,308 @@
+package org.foxtailmoor.node.data;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.core.admission.AdmissionController;
+import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.core.admission.FleetLimits;
+import org.foxtailmoor.core.home.CrashGuard;
+import org.foxtailmoor.core.home.HomeRequests;
+import org.foxtailmoor.core.home.HomeTerms;
+import org.foxtailmoor.core.home.KeyLedger;
+import org.foxtailmoor.core.home.ViewLease;
+import org.foxtailmoor.core.routing.BudgetedRetryPolicy;
+import org.foxtailmoor.core.routing.EntryDecisions;
+import org.foxtailmoor.core.routing.EpochClock;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.core.routing.ServiceView;
+import org.foxtailmoor.core.routing.SnapshotReference;
+import org.foxtailmoor.core.routing.TwoChoicesBalancer;
+import org.foxtailmoor.core.routing.UpstreamTable;
+import org.foxtailmoor.node.NodeSettings;
+import org.foxtailmoor.node.trace.HopTracer;
+import org.foxtailmoor.protocol.generated.CrashReport;
+
+/**
+ * Data side of a node: the caller port, the node port, the links and the target client around the
+ * decisions about requests. Everything runs on the data loop; the public methods may be called from
+ * any thread.
+ */
+public final class DataSide {
+    private static final long TICK_MILLISECONDS = 20;
+    private static final int TICKS_PER_LINK_TICK = 5;
+    private static final int TICKS_PER_SECOND = 50;
+
+    /** Slots until the catalogue names the service of this node. */
+    private static final int INITIAL_SLOTS = 1;
+
+    /**
+     * Parts that a data side is built from; no component may be null.
+     *
+     * @param settings settings of the node
+     * @param incarnation start time of the process in milliseconds since the epoch
+     * @param loop data loop
+     * @param ticker clock
+     * @param metrics registry for the metrics
+     * @param tracer records the trace hops
+     * @param snapshots routing snapshot in force
+     * @param lease gives the view lease now, or null
+     * @param crashReporter receives crash counts to spread, on the data loop
+     */
+    public record Parts(
+            NodeSettings settings,
+            long incarnation,
+            EventLoop loop,
+            Ticker ticker,
+            MetricRegistry metrics,
+            HopTracer tracer,
+            SnapshotReference<RoutingSnapshot> snapshots,
+            Supplier<ViewLease> lease,
+            Consumer<CrashReport> crashReporter) {}
+
+    private final Parts mParts;
+    private final EpochClock mClock;
+    private final UpstreamTable mUpstreams;
+    private final AdmissionController mAdmission;
+    private final CrashGuard mGuard;
+    private final TargetClient mTarget;
+    private final HomeGateway mHome;
+    private final Links mLinks;
+    private final EntryGateway mEntry;
+    private final CallerServer mCallers;
+    private final LinkServer mLinkServer;
+    private final DataDrain mDrain;
+    private InetSocketAddress mCallerAddress;
+    private InetSocketAddress mNodeAddress;
+    private RoutingSnapshot mSnapshot;
+    private List<CrashReport> mReported = List.of();
+    private boolean mReady;
+    private long mTicks;
+
+    private DataSide(Parts parts) {
+        mParts = parts;
+        NodeSettings.NodeSection node = parts.settings().node();
+        Ticker ticker = parts.ticker();
+        SplittableRandom random = new SplittableRandom();
+        BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
+        DataMetrics metrics = new DataMetrics(parts.metrics());
+        mClock = EpochClock.of(ticker, System.currentTimeMillis());
+        mUpstreams = UpstreamTable.of(ticker);
+        mAdmission = AdmissionController.of(ticker, INITIAL_SLOTS);
+        mGuard = CrashGuard.of(ticker, node.service(), node.id());
+        mTarget =
+                new TargetClient(
+                        parts.loop(), parts.settings().target().socketAddress(), memory, ticker);
+        mHome =
+                new HomeGateway(
+                        node.service(),
+                        new HomeGateway.Parts(
+                                parts.loop(),
+                                ticker,
+                                memory,
+                                ByteBufAllocator.DEFAULT,
+                                mTarget,
+                                mAdmission,
+                                parts.tracer(),
+                                metrics));
+        mLinks =
+                new Links(parts.loop(), node.id(), parts.incarnation(), memory, ticker, mUpstreams);
+        EntryDecisions decisions =
+                EntryDecisions.of(
+                        mClock,
+                        mUpstreams,
+                        TwoChoicesBalancer.of(mUpstreams, random, node.region(), node.zone()),
+                        BudgetedRetryPolicy.of(ticker, random));
+        mEntry =
+                new EntryGateway(
+                        node.id(),
+                        new EntryGateway.Parts(
+                                parts.loop(),
+                                ticker,
+                                parts.snapshots(),
+                                decisions,
+                                mLinks,
+                                mHome,
+                                parts.tracer(),
+                                metrics,
+                                () -> mReady));
+        mCallers = new CallerServer(mEntry, memory);
+        mLinkServer = new LinkServer(node.id(), parts.incarnation(), mHome, memory, ticker);
+        mDrain = new DataDrain(ticker, mHome, mEntry, mCallers, mLinkServer, mLinks);
+        registerGauges(metrics, memory);
+    }
+
+    /** Creates a data side that neither listens nor ticks before {@link #start()}. */
+    public static DataSide of(Parts parts) {
+        return new DataSide(parts);
+    }
+
+    /**
+     * Binds the caller port and the node port and starts the ticks. Blocks the calling thread,
+     * which must not be the data loop.
+     *
+     * @throws FoxtailmoorException of kind ADDRESS_IN_USE if a port can't be bound
+     */
+    public void start() {
+        NodeSettings.NodeSection node = mParts.settings().node();
+        mNodeAddress =
+                bound(
+                        mLinkServer.bind(mParts.loop(), address(node.nodePort())),
+                        "node.node_port",
+                        node.nodePort());
+        mCallerAddress =
+                bound(
+                        mCallers.bind(mParts.loop(), address(node.callerPort())),
+                        "node.caller_port",
+                        node.callerPort());
+        mParts.loop()
+                .scheduleAtFixedRate(
+                        this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the bound address of the caller port, null before the start. */
+    public InetSocketAddress callerAddress() {
+        return mCallerAddress;
+    }
+
+    /** Returns the bound address of the node port, null before the start. */
+    public InetSocketAddress nodeAddress() {
+        return mNodeAddress;
+    }
+
+    /** Takes the snapshot that is in force now; to be called after each publication. */
+    public void onPublished() {
+        mParts.loop().execute(this::takeSnapshot);
+    }
+
+    /** Begins to serve. The terms of the key decisions count from here. */
+    public void onReady() {
+        mParts.loop().execute(this::open);
+    }
+
+    /** Merges crash counts of other nodes of the service. */
+    public void onCrashReports(Collection<CrashReport> reports) {
+        mParts.loop().execute(() -> mGuard.merge(reports));
+    }
+
+    /**
+     * Takes no new work for the target from now on, finishes what has begun and closes everything.
+     *
+     * @return completes when everything is closed
+     */
+    public CompletableFuture<Void> leave() {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        mParts.loop()
+                .execute(
+                        () -> {
+                            mUpstreams.markLeaving(mParts.settings().node().id());
+                            mDrain.start(drained);
+                        });
+        return drained;
+    }
+
+    /** Closes every connection at once; open requests are cut. */
+    public void close() {
+        mParts.loop().execute(this::closeAll);
+    }
+
+    private void closeAll() {
+        mDrain.closeNow();
+        mTarget.close();
+    }
+
+    private void open() {
+        if (mReady) {
+            return;
+        }
+        mReady = true;
+        HomeTerms terms = HomeTerms.of(mClock, mParts.settings().node().id(), mParts.lease());
+        mHome.open(
+                HomeRequests.of(
+                        mAdmission,
+                        FleetLimits.of(mParts.ticker()),
+                        KeyLedger.of(mClock),
+                        terms,
+                        mGuard));
+    }
+
+    private void takeSnapshot() {
+        SnapshotReference.Use<RoutingSnapshot> use = mParts.snapshots().acquire();
+        RoutingSnapshot snapshot = use.value();
+        use.release();
+        if (snapshot == mSnapshot) {
+            return;
+        }
+        mSnapshot = snapshot;
+        mUpstreams.update(snapshot);
+        ServiceView service = snapshot.service(mParts.settings().node().service());
+        if (service != null) {
+            mAdmission.resize(Math.max(1, service.definition().body().getSlots()));
+        }
+        mHome.update(snapshot);
+    }
+
+    private void tick() {
+        mTicks++;
+        mUpstreams.tick();
+        mHome.tick();
+        mDrain.tick();
+        if (mTicks % TICKS_PER_LINK_TICK == 0) {
+            mLinks.tick();
+            mLinkServer.tick();
+            reportCrashes();
+        }
+        if (mTicks % TICKS_PER_SECOND == 0) {
+            mCallers.tick();
+            mClock.adjust(System.currentTimeMillis());
+        }
+    }
+
+    private void reportCrashes() {
+        List<CrashReport> reports = mGuard.reports();
+        if (!reports.equals(mReported)) {
+            reports.stream()
+                    .filter(report -> !mReported.contains(report))
+                    .forEach(mParts.crashReporter());
+            mReported = reports;
+        }
+    }
+
+    private void registerGauges(DataMetrics metrics, BodyMemory memory) {
+        metrics.gauge("bodies.reserved_bytes", memory::reservedBytes);
+        metrics.gauge("entry.open_requests", mEntry::openRequests);
+        metrics.gauge("entry.caller_connections", mCallers::openConnections);
+        metrics.gauge("links.outgoing_peers", mLinks::peers);
+        metrics.gauge("links.incoming_links", mLinkServer::openLinks);
+        metrics.gauge("target.connections", mTarget::openConnections);
+        metrics.gauge("home.running_requests", () -> mAdmission.load().getRunning());
+        metrics.gauge("home.queued_requests", () -> mAdmission.load().getQueued());
+    }
+
+    private InetSocketAddress address(int port) {
+        return new InetSocketAddress(mParts.settings().node().address(), port);
+    }
+
+    private static InetSocketAddress bound(ChannelFuture future, String key, int port) {
+        future.awaitUninterruptibly();
+        if (!future.isSuccess()) {
+            throw FoxtailmoorException.of(
+                    ErrorKind.ADDRESS_IN_USE,
+                    "cannot listen on " + key + " = " + port + ": " + future.cause().getMessage(),
+                    future.cause());
+        }
+        return (InetSocketAddress) future.channel().localAddress();
+    }
+}
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
@@ -87,6 +87,26 @@
         return null;
     }
 
+    /**
+     * Returns headers with another trace context.
+     *
+     * @param headers headers, not null and not changed
+     * @param traceparent trace context, or null to leave the headers as they are
+     */
+    public static List<Header> withTrace(List<Header> headers, String traceparent) {
+        if (traceparent == null || traceparent.equals(find(headers, TRACEPARENT))) {
+            return headers;
+        }
+        List<Header> changed = new ArrayList<>(headers.size() + 1);
+        for (Header header : headers) {
+            if (!TRACEPARENT.contentEquals(header.getName())) {
+                changed.add(header);
+            }
+        }
+        changed.add(of(TRACEPARENT.toString(), traceparent));
+        return changed;
+    }
+
     private static Set<String> namedByConnection(HttpHeaders headers) {
         if (!headers.contains(HttpHeaderNames.CONNECTION)) {
             return Set.of();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -82,6 +82,11 @@
         return mLinks.stream().allMatch(LinkServerHandler::isIdle);
     }
 
+    /** Closes every link at once. */
+    void closeLinks() {
+        new ArrayList<>(mLinks).forEach(LinkServerHandler::close);
+    }
+
     /** Stops listening. */
     void close() {
         if (mChannel != null) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Closes the link at once. */
+    void close() {
+        mChannel.close();
+    }
+
     /** Tells the peer that this upstream is leaving. */
     void sendGoingAway() {
         mChannel.writeAndFlush(Frames.goingAway());
