--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
@@ -94,7 +94,7 @@
                         || kind.status() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
         if (retryable) {
             // The header has whole seconds, of which 0 would ask for an immediate repeat.
-            long seconds = Math.ceilDiv((long) failure.retryAfterMilliseconds(), 1_000L);
+            long seconds = (failure.retryAfterMilliseconds() + 999L) / 1_000;
             headers.set(HttpHeaderNames.RETRY_AFTER, Math.max(1, seconds));
         }
         return response;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
@@ -89,6 +89,7 @@
                 }
             }
             case CALLERS -> {
+                mCallers.stop();
                 boolean served = mEntry.openRequests() == 0 && mCallers.openConnections() == 0;
                 if (served && mLinkServer.isIdle()) {
                     mLinkServer.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -27,7 +27,6 @@
 import org.foxtailmoor.core.routing.EntryDecisions;
 import org.foxtailmoor.core.routing.EpochClock;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
-import org.foxtailmoor.core.routing.ServiceView;
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.core.routing.TwoChoicesBalancer;
 import org.foxtailmoor.core.routing.UpstreamTable;
@@ -231,9 +230,10 @@
         HomeTerms terms = HomeTerms.of(mClock, mParts.settings().node().id(), mParts.lease());
         mHome.open(
                 HomeRequests.of(
+                        mParts.ticker(),
                         mAdmission,
                         FleetLimits.of(mParts.ticker()),
-                        KeyLedger.of(mClock),
+                        KeyLedger.of(mParts.ticker()),
                         terms,
                         mGuard));
     }
@@ -247,19 +247,15 @@
         }
         mSnapshot = snapshot;
         mUpstreams.update(snapshot);
-        ServiceView service = snapshot.service(mParts.settings().node().service());
-        if (service != null) {
-            mAdmission.resize(Math.max(1, service.definition().body().getSlots()));
-        }
         mHome.update(snapshot);
     }
 
     private void tick() {
         mTicks++;
-        mUpstreams.tick();
         mHome.tick();
         mDrain.tick();
         if (mTicks % TICKS_PER_LINK_TICK == 0) {
+            mUpstreams.tick();
             mLinks.tick();
             mLinkServer.tick();
             reportCrashes();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -124,7 +124,8 @@
     private RequestStart startOfAttempt() {
         long left = mRequest.deadlineNanoseconds() - mGateway.parts().ticker().nanoTime();
         // Rounded up, so that a short deadline does not become none.
-        long milliseconds = Math.max(1, Math.ceilDiv(left, NANOSECONDS_PER_MILLISECOND));
+        long milliseconds =
+                Math.max(1, (left + NANOSECONDS_PER_MILLISECOND - 1) / NANOSECONDS_PER_MILLISECOND);
         return RequestStart.newBuilder()
                 .setMethod(mHead.method())
                 .setPath(mHead.path())
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -83,7 +83,7 @@
     void update(RoutingSnapshot snapshot) {
         mSnapshot = snapshot;
         if (mRequests != null) {
-            mRequests.update(snapshot);
+            mRequests.update(snapshot, mServiceId);
         }
     }
 
@@ -95,7 +95,7 @@
     void open(HomeRequests requests) {
         mRequests = requests;
         if (mSnapshot != null) {
-            mRequests.update(mSnapshot);
+            mRequests.update(mSnapshot, mServiceId);
         }
         if (mLeaving) {
             mRequests.leave();
@@ -160,16 +160,12 @@
         List<HomeTask> crashed = List.copyOf(mCrashed);
         mCrashed.clear();
         mRequests.crashed(crashed);
-        crashed.forEach(HomeTask::endCrashed);
     }
 
     /** Returns why the home can't take a request, or null. */
     private ErrorKind check(RequestStart start) {
-        if (mLeaving) {
-            return ErrorKind.LEAVING;
-        }
         if (mSnapshot == null || mRequests == null) {
-            return ErrorKind.NOT_READY;
+            return mLeaving ? ErrorKind.LEAVING : ErrorKind.NOT_READY;
         }
         if (!start.getServiceId().equals(mServiceId)) {
             // The entry's instance list has another instance at this address.
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -27,6 +27,7 @@
     private final long mStartedNanoseconds;
     private OutcomeListener mListener;
     private Cancellable mTargetCall;
+    private Outcome.Failure mLastFailure;
     private long mDispatchedNanoseconds;
     private boolean mEnded;
 
@@ -103,7 +104,12 @@
     @Override
     public void refuse(ErrorKind kind, int retryAfterMilliseconds) {
         mHome.metrics().countHomeRefusal(kind);
-        end(new Outcome.Failure(kind, ErrorMessages.of(kind), retryAfterMilliseconds));
+        end(failure(kind, retryAfterMilliseconds));
+    }
+
+    @Override
+    public boolean isStillAllowed() {
+        return mHome.requests().confirmDispatch(this);
     }
 
     @Override
@@ -119,25 +125,14 @@
 
     @Override
     public void onFailure(Outcome.Failure failure, boolean crashed) {
+        mLastFailure = failure;
         if (crashed) {
             mHome.onCrash(this);
-            return;
-        }
-        if (failure.kind().isNotRun()) {
-            mHome.requests().notRun(this);
-            end(failure);
-            return;
+        } else if (failure.kind().isNotRun()) {
+            mHome.requests().notSent(this, failure.kind());
+        } else {
+            mHome.requests().failed(this, failure.kind());
         }
-        ErrorKind kind = mHome.requests().failed(this, failure.kind());
-        end(Outcome.Failure.of(kind, failure.message()));
-    }
-
-    /** Ends the task after its crash was counted. */
-    void endCrashed() {
-        // The entry must not send the request to another target, which it could crash as well.
-        boolean repeatable = mRoute.isIdempotent() && mKey == null;
-        ErrorKind kind = repeatable ? ErrorKind.UPSTREAM_FAILED : ErrorKind.OUTCOME_UNKNOWN;
-        end(Outcome.Failure.of(kind, "the target ended the connection during the request"));
     }
 
     /**
@@ -149,15 +144,24 @@
             return;
         }
         mListener = null;
-        if (mHome.requests().cancel(this)) {
-            end(Outcome.Failure.of(ErrorKind.CANCELLED, "cancelled while it waited"));
-        } else if (mTargetCall != null && mKey == null) {
-            mTargetCall.cancel();
-            mHome.requests().failed(this, ErrorKind.CANCELLED);
-            end(Outcome.Failure.of(ErrorKind.CANCELLED, "cancelled at the target"));
+        switch (mHome.requests().cancel(this)) {
+            case NOT_RUN, ENDED -> end(failure(ErrorKind.CANCELLED, 0));
+            case CANCEL_AT_TARGET -> {
+                mTargetCall.cancel();
+                mHome.requests().failed(this, ErrorKind.CANCELLED);
+            }
+            default -> {
+                // The work goes on without a listener.
+            }
         }
     }
 
+    private Outcome.Failure failure(ErrorKind kind, int retryAfterMilliseconds) {
+        boolean explained = mLastFailure != null && mLastFailure.kind() == kind;
+        String message = explained ? mLastFailure.message() : ErrorMessages.of(kind);
+        return new Outcome.Failure(kind, message, retryAfterMilliseconds);
+    }
+
     private void end(Outcome outcome) {
         if (mEnded) {
             outcome.release();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -178,6 +178,11 @@
             }
         }
 
+        @Override
+        public boolean isStillAllowed() {
+            return mListener.isStillAllowed();
+        }
+
         @Override
         public void onAnswer(Outcome.Answer answer) {
             if (end()) {
@@ -225,6 +230,11 @@
             }
             TargetConnection connection = channel.pipeline().get(TargetConnection.class);
             mOpen.add(connection);
+            if (!mSent && !isStillAllowed()) {
+                end();
+                mPool.onIdle(connection);
+                return;
+            }
             sendOn(connection);
         }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetListener.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetListener.java
@@ -2,6 +2,12 @@
 
 /** Is told once, on the data loop, how a request to the target ended. */
 interface TargetListener {
+    /**
+     * Is asked immediately before the first byte goes to a connection that had to be opened for the
+     * request. After the answer false no other method is called.
+     */
+    boolean isStillAllowed();
+
     /** Takes the whole answer; the listener owns its body. */
     void onAnswer(Outcome.Answer answer);
 
