--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -0,0 +1,163 @@
+package org.foxtailmoor.node.data;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** HTTP/1.1 target whose requests the test answers one by one, over real sockets. */
+final class FakeTarget implements AutoCloseable {
+    private static final long WAIT_SECONDS = 10;
+
+    /** One request that has arrived whole. */
+    record Received(
+            String method, String path, Map<String, String> headers, byte[] body, Socket socket) {
+        void answer(int status, String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            send(
+                    "HTTP/1.1 "
+                            + status
+                            + " x\r\nContent-Length: "
+                            + bytes.length
+                            + "\r\n\r\n"
+                            + text);
+        }
+
+        void send(String text) {
+            try {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream().flush();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        void closeConnection() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private final ServerSocket mServer;
+    private final BlockingQueue<Received> mReceived = new LinkedBlockingQueue<>();
+    private final CompletableFuture<Void> mClosedByPeer = new CompletableFuture<>();
+    private volatile boolean mEcho;
+
+    FakeTarget() throws IOException {
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        startThread(this::accept);
+    }
+
+    /** Answers every request at once with its path. */
+    FakeTarget echoing() {
+        mEcho = true;
+        return this;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) mServer.getLocalSocketAddress();
+    }
+
+    Received take() throws InterruptedException {
+        Received received = mReceived.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (received == null) {
+            throw new AssertionError("no request reached the target");
+        }
+        return received;
+    }
+
+    int waiting() {
+        return mReceived.size();
+    }
+
+    /** Completes when a node closes a connection. */
+    CompletableFuture<Void> closedByPeer() {
+        return mClosedByPeer;
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = mServer.accept();
+                socket.setTcpNoDelay(true);
+                startThread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed the target.
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            InputStream input = socket.getInputStream();
+            Received received = read(input, socket);
+            while (received != null) {
+                if (mEcho) {
+                    received.answer(200, received.path());
+                } else {
+                    mReceived.add(received);
+                }
+                received = read(input, socket);
+            }
+        } catch (IOException e) {
+            // Ends like an orderly close.
+        }
+        mClosedByPeer.complete(null);
+    }
+
+    private static Received read(InputStream input, Socket socket) throws IOException {
+        String first = line(input);
+        if (first == null) {
+            return null;
+        }
+        Map<String, String> headers = new HashMap<>();
+        for (String line = line(input); !line.isEmpty(); line = line(input)) {
+            int colon = line.indexOf(':');
+            String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+            headers.put(name, line.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = input.readNBytes(length);
+        String[] parts = first.split(" ");
+        return new Received(parts[0], parts[1], headers, body, socket);
+    }
+
+    private static String line(InputStream input) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next = input.read();
+        while (next != '\n') {
+            if (next < 0) {
+                return null;
+            }
+            line.write(next);
+            next = input.read();
+        }
+        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    }
+
+    private static void startThread(Runnable runnable) {
+        Thread thread = new Thread(runnable, "fake-target");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RequestPathTest.java
@@ -0,0 +1,53 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests over real sockets: caller, entry, link, home, target and back. */
+class RequestPathTest {
+    private final TestFleet mFleet = new TestFleet();
+    private FakeTarget mLookupTarget;
+    private FakeTarget mOrderTarget;
+    private TestFleet.Node mEntry;
+
+    @BeforeEach
+    void start() throws Exception {
+        mLookupTarget = new FakeTarget();
+        mOrderTarget = new FakeTarget();
+        mFleet.add("lookup-1", TestFleet.LOOKUPS, mLookupTarget.address());
+        mEntry = mFleet.add("order-1", TestFleet.ORDERS, mOrderTarget.address());
+        mFleet.publish();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        mLookupTarget.close();
+        mOrderTarget.close();
+    }
+
+    @Test
+    void requestGoesOverALinkAndBack() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = mFleet.get(mEntry, "/racks/7?size=2");
+        FakeTarget.Received received = mLookupTarget.take();
+        assertThat(received.path()).isEqualTo("/racks/7?size=2");
+        assertThat(received.headers()).containsKey("foxtailmoor-deadline-milliseconds");
+        received.answer(200, "rack 7");
+        assertThat(answer.get().body()).isEqualTo("rack 7");
+        assertThat(answer.get().statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void requestToTheOwnTargetNeedsNoLink() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = mFleet.post(mEntry, "/orders", "maps");
+        FakeTarget.Received received = mOrderTarget.take();
+        assertThat(new String(received.body())).isEqualTo("maps");
+        received.answer(201, "");
+        assertThat(answer.get().statusCode()).isEqualTo(201);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -0,0 +1,227 @@
+package org.foxtailmoor.node.data;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.SettingsReader;
+import org.foxtailmoor.catalogue.CatalogueSnapshot;
+import org.foxtailmoor.core.home.ViewLease;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.core.routing.SnapshotReference;
+import org.foxtailmoor.node.NodeSettings;
+import org.foxtailmoor.node.trace.PassingTracer;
+import org.foxtailmoor.protocol.DocumentVersions;
+import org.foxtailmoor.protocol.generated.ClassEntry;
+import org.foxtailmoor.protocol.generated.DocumentVersion;
+import org.foxtailmoor.protocol.generated.Entry;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.RegionEntry;
+import org.foxtailmoor.protocol.generated.RetryEntry;
+import org.foxtailmoor.protocol.generated.RouteEntry;
+import org.foxtailmoor.protocol.generated.ServiceEntry;
+
+/**
+ * Data sides on one loop with real sockets, and the snapshot that their control side would give.
+ */
+final class TestFleet implements AutoCloseable {
+    static final String LOOKUPS = "rack-catalogue";
+    static final String ORDERS = "order-desk";
+
+    /** One node: its data side and its identity. */
+    record Node(String id, String service, DataSide data, MetricRegistry metrics, Snapshots in) {
+        URI uri(String path) {
+            return URI.create("http://127.0.0.1:" + data.callerAddress().getPort() + path);
+        }
+    }
+
+    private record Snapshots(SnapshotReference<RoutingSnapshot> reference) {}
+
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = mGroup.next();
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<Node> mNodes = new ArrayList<>();
+    private int mRevision;
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    Node add(String id, String service, InetSocketAddress target, String... settings) {
+        String text =
+                """
+                [node]
+                id = "%s"
+                service = "%s"
+                region = "doo"
+                zone = "sapporo-a"
+                address = "127.0.0.1"
+                caller_port = 0
+                node_port = 0
+                control_port = 0
+                admin_port = 0
+                %s
+                [target]
+                address = "127.0.0.1"
+                port = %d
+                [platform]
+                address = "127.0.0.1"
+                port = 1
+                """
+                        .formatted(id, service, String.join("\n", settings), target.getPort());
+        MetricRegistry metrics = new MetricRegistry();
+        Snapshots snapshots =
+                new Snapshots(
+                        SnapshotReference.of(
+                                RoutingSnapshot.of(
+                                        CatalogueSnapshot.EMPTY, DocumentVersions.NONE, List.of()),
+                                dropped -> {}));
+        DataSide data =
+                DataSide.of(
+                        new DataSide.Parts(
+                                NodeSettings.of(SettingsReader.of("test", text)),
+                                1,
+                                mLoop,
+                                Ticker.systemTicker(),
+                                metrics,
+                                new PassingTracer(),
+                                snapshots.reference(),
+                                this::lease,
+                                report -> {}));
+        data.start();
+        Node node = new Node(id, service, data, metrics, snapshots);
+        mNodes.add(node);
+        return node;
+    }
+
+    /** Gives every node a snapshot with all nodes and the test catalogue, and makes them ready. */
+    TestFleet publish() {
+        mRevision++;
+        List<Instance> instances = new ArrayList<>();
+        for (Node node : mNodes) {
+            instances.add(instanceOf(node));
+        }
+        RoutingSnapshot snapshot =
+                RoutingSnapshot.of(
+                        CatalogueSnapshot.of(version(), entries()), version(), instances);
+        for (Node node : mNodes) {
+            node.in().reference().publish(snapshot);
+            node.data().onPublished();
+            node.data().onReady();
+        }
+        return this;
+    }
+
+    CompletableFuture<HttpResponse<String>> get(Node node, String path) {
+        return send(HttpRequest.newBuilder(node.uri(path)).GET().build());
+    }
+
+    CompletableFuture<HttpResponse<String>> post(Node node, String path, String body) {
+        return send(
+                HttpRequest.newBuilder(node.uri(path))
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build());
+    }
+
+    CompletableFuture<HttpResponse<String>> send(HttpRequest request) {
+        return mClient.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .orTimeout(20, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        mNodes.forEach(node -> node.data().close());
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private ViewLease lease() {
+        return new ViewLease(
+                version(), Ticker.systemTicker().nanoTime() + TimeUnit.SECONDS.toNanos(60));
+    }
+
+    private DocumentVersion version() {
+        return DocumentVersion.newBuilder()
+                .setNumber(mRevision)
+                .setDigest(ByteString.copyFrom(new byte[32]))
+                .build();
+    }
+
+    private static Instance instanceOf(Node node) {
+        return Instance.newBuilder()
+                .setId(node.id())
+                .setServiceId(node.service())
+                .setRegion("doo")
+                .setZone("sapporo-a")
+                .setAddress("127.0.0.1")
+                .setNodePort(node.data().nodeAddress().getPort())
+                .build();
+    }
+
+    private static List<Entry> entries() {
+        List<Entry> entries = new ArrayList<>();
+        entries.add(
+                entry("doo")
+                        .setRegionEntry(RegionEntry.newBuilder().addZones("sapporo-a"))
+                        .build());
+        entries.add(
+                entry("normal")
+                        .setClassEntry(ClassEntry.newBuilder().setWeight(1).setQueueLimit(50))
+                        .build());
+        entries.add(
+                entry("retry")
+                        .setRetryEntry(
+                                RetryEntry.newBuilder()
+                                        .setAttempts(3)
+                                        .setBudgetPercent(100)
+                                        .setBaseBackoffMilliseconds(1))
+                        .build());
+        addService(entries, LOOKUPS, "/racks", true);
+        addService(entries, ORDERS, "/orders", false);
+        return entries;
+    }
+
+    private static void addService(
+            List<Entry> entries, String service, String prefix, boolean idempotent) {
+        entries.add(
+                entry(service)
+                        .setClassId("normal")
+                        .setServiceEntry(
+                                ServiceEntry.newBuilder()
+                                        .setHomeRegion("doo")
+                                        .setSlots(4)
+                                        .setConnections(20)
+                                        .setCrashLimit(2))
+                        .build());
+        entries.add(
+                entry(service)
+                        .setClassId("normal")
+                        .setRouteEntry(
+                                RouteEntry.newBuilder()
+                                        .setServiceId(service)
+                                        .setMethod("*")
+                                        .setPathPrefix(prefix)
+                                        .setIdempotent(idempotent)
+                                        .setDeadlineMilliseconds(10_000)
+                                        .setBodyLimitBytes(1_000_000)
+                                        .setRetryId("retry"))
+                        .build());
+    }
+
+    private static Entry.Builder entry(String id) {
+        return Entry.newBuilder().setId(id).setOwner("owner");
+    }
+}
