--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -0,0 +1,235 @@
+package org.foxtailmoor.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.catalogue.CatalogueSnapshot;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.core.routing.SnapshotReference;
+import org.foxtailmoor.node.admin.AdminEndpoint;
+import org.foxtailmoor.node.admin.AdminServer;
+import org.foxtailmoor.node.admin.HealthEndpoint;
+import org.foxtailmoor.node.admin.MetricsEndpoint;
+import org.foxtailmoor.node.admin.StatusEndpoint;
+import org.foxtailmoor.node.control.ControlPlane;
+import org.foxtailmoor.node.data.DataSide;
+import org.foxtailmoor.node.platform.HttpConfigurationSource;
+import org.foxtailmoor.node.platform.HttpInstanceList;
+import org.foxtailmoor.node.trace.HopTracer;
+import org.foxtailmoor.node.trace.Tracers;
+import org.foxtailmoor.protocol.DocumentVersions;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One running node: the control side and the data side, each on its own event loop, and the admin
+ * port.
+ *
+ * <pre>{@code
+ * Node node = Node.start(settings);
+ * node.leave().join();
+ * }</pre>
+ */
+public final class Node {
+    /** Bound of a graceful shutdown; what is still open then is cut. */
+    static final long SHUTDOWN_SECONDS = 30;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
+    private static final long LOOP_SHUTDOWN_SECONDS = 1;
+
+    private final NodeSettings mSettings;
+    private final Ticker mTicker = Ticker.systemTicker();
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final EventLoopGroup mControlLoops = newLoop("control");
+    private final EventLoopGroup mDataLoops = newLoop("data");
+    private final HopTracer mTracer;
+    private final SnapshotReference<RoutingSnapshot> mSnapshots;
+    private final CompletableFuture<Void> mEnded = new CompletableFuture<>();
+    private ControlPlane mControl;
+    private DataSide mData;
+    private AdminServer mAdmin;
+    private boolean mLeaving;
+
+    private Node(NodeSettings settings) {
+        mSettings = settings;
+        mTracer = Tracers.of(settings);
+        mSnapshots =
+                SnapshotReference.of(
+                        RoutingSnapshot.of(
+                                CatalogueSnapshot.EMPTY, DocumentVersions.NONE, List.of()),
+                        dropped -> {});
+    }
+
+    /**
+     * Binds all ports and starts the node, which serves when it is ready.
+     *
+     * @param settings settings, not null
+     * @throws org.foxtailmoor.base.FoxtailmoorException of kind ADDRESS_IN_USE if a port can't be
+     *     bound
+     */
+    public static Node start(NodeSettings settings) {
+        Node node = new Node(settings);
+        try {
+            node.open();
+            return node;
+        } catch (RuntimeException e) {
+            node.closeAll();
+            throw e;
+        }
+    }
+
+    /** Returns the bound address of the caller port. */
+    public InetSocketAddress callerAddress() {
+        return mData.callerAddress();
+    }
+
+    /** Returns the bound address of the node port. */
+    public InetSocketAddress nodeAddress() {
+        return mData.nodeAddress();
+    }
+
+    /** Returns the bound address of the control port. */
+    public InetSocketAddress controlAddress() {
+        return mControl.address();
+    }
+
+    /** Returns the bound address of the admin port. */
+    public InetSocketAddress adminAddress() {
+        return mAdmin.address();
+    }
+
+    /** Returns whether the node has finished its start. */
+    public boolean isReady() {
+        return mControl.isReady();
+    }
+
+    /** Completes when the node has ended. */
+    public CompletableFuture<Void> ended() {
+        return mEnded;
+    }
+
+    /**
+     * Stops the node without cutting a request, in at most 30 s.
+     *
+     * @return completes when everything is closed
+     */
+    public CompletableFuture<Void> leave() {
+        synchronized (this) {
+            if (mLeaving) {
+                return mEnded;
+            }
+            mLeaving = true;
+        }
+        LOGGER.info("leaving");
+        CompletableFuture.allOf(mControl.startLeaving(), mData.leave())
+                .orTimeout(SHUTDOWN_SECONDS, TimeUnit.SECONDS)
+                .whenComplete((unused, failure) -> end(failure));
+        return mEnded;
+    }
+
+    /** Stops the node at once; open requests are cut. */
+    public void close() {
+        closeAll();
+        mEnded.complete(null);
+    }
+
+    private void open() {
+        long incarnation = System.currentTimeMillis();
+        ControlEvents events = new ControlEvents(mSnapshots, this::leave);
+        mControl = newControl(incarnation, events);
+        mData =
+                DataSide.of(
+                        new DataSide.Parts(
+                                mSettings,
+                                incarnation,
+                                mDataLoops.next(),
+                                mTicker,
+                                mMetrics,
+                                mTracer,
+                                mSnapshots,
+                                events::lease,
+                                mControl::reportCrash));
+        events.connect(mData);
+        mData.start();
+        mAdmin = newAdmin(events);
+        mControl.start();
+        LOGGER.info(
+                "started {} with ports caller={} node={} control={} admin={}",
+                mSettings.node().id(),
+                callerAddress().getPort(),
+                nodeAddress().getPort(),
+                controlAddress().getPort(),
+                adminAddress().getPort());
+    }
+
+    private ControlPlane newControl(long incarnation, ControlEvents events) {
+        InetSocketAddress platform = mSettings.platform().socketAddress();
+        return ControlPlane.builder()
+                .settings(mSettings)
+                .loop(mControlLoops.next())
+                .ticker(mTicker)
+                .random(new SplittableRandom())
+                .incarnation(incarnation)
+                .metrics(mMetrics)
+                .configurationSource(new HttpConfigurationSource(mControlLoops, platform))
+                .instanceList(new HttpInstanceList(mControlLoops, platform))
+                .listener(events)
+                .build();
+    }
+
+    private AdminServer newAdmin(ControlEvents events) {
+        Map<String, AdminEndpoint> endpoints =
+                Map.of(
+                        "/health", new HealthEndpoint("healthy", () -> true),
+                        "/ready", new HealthEndpoint("ready", mControl::isReady),
+                        "/metrics", new MetricsEndpoint(mMetrics),
+                        "/status",
+                                new StatusEndpoint(
+                                        mSettings.node(), mControl, events::leavingUpstreams));
+        NodeSettings.NodeSection node = mSettings.node();
+        return AdminServer.bind(
+                mControlLoops, new InetSocketAddress(node.address(), node.adminPort()), endpoints);
+    }
+
+    private void end(Throwable failure) {
+        if (failure != null) {
+            LOGGER.warn("the shutdown did not finish in {} s", SHUTDOWN_SECONDS, failure);
+        }
+        closeAll();
+        // Exporting the last spans may block, so that it must not run on an event loop.
+        CompletableFuture.runAsync(mTracer::close)
+                .whenComplete(
+                        (unused, closeFailure) -> {
+                            LOGGER.info("ended");
+                            mEnded.complete(null);
+                        });
+    }
+
+    private void closeAll() {
+        if (mData != null) {
+            mData.close();
+        }
+        if (mAdmin != null) {
+            mAdmin.close();
+        }
+        if (mControl != null) {
+            mControl.close();
+        }
+        mDataLoops.shutdownGracefully(0, LOOP_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+        mControlLoops.shutdownGracefully(0, LOOP_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static EventLoopGroup newLoop(String name) {
+        return new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory(name), NioIoHandler.newFactory());
+    }
+}
