--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -57,7 +57,7 @@
     private ControlPlane mControl;
     private DataSide mData;
     private AdminServer mAdmin;
-    private boolean mLeaving;
+    private volatile boolean mLeaving;
 
     private Node(NodeSettings settings) {
         mSettings = settings;
@@ -107,9 +107,9 @@
         return mAdmin.address();
     }
 
-    /** Returns whether the node has finished its start. */
+    /** Returns whether the node has finished its start and is not leaving. */
     public boolean isReady() {
-        return mControl.isReady();
+        return mControl.isReady() && !mLeaving;
     }
 
     /** Completes when the node has ended. */
@@ -190,7 +190,7 @@
         Map<String, AdminEndpoint> endpoints =
                 Map.of(
                         "/health", new HealthEndpoint("healthy", () -> true),
-                        "/ready", new HealthEndpoint("ready", mControl::isReady),
+                        "/ready", new HealthEndpoint("ready", this::isReady),
                         "/metrics", new MetricsEndpoint(mMetrics),
                         "/status",
                                 new StatusEndpoint(
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.SettingsReader;
 import org.foxtailmoor.catalogue.CatalogueSnapshot;
-import org.foxtailmoor.core.home.ViewLease;
+import org.foxtailmoor.core.distribution.ViewLease;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.node.NodeSettings;
@@ -149,8 +149,8 @@
     }
 
     private ViewLease lease() {
-        return new ViewLease(
-                version(), Ticker.systemTicker().nanoTime() + TimeUnit.SECONDS.toNanos(60));
+        long now = Ticker.systemTicker().nanoTime();
+        return new ViewLease(version(), true, now + TimeUnit.SECONDS.toNanos(60), 0);
     }
 
     private DocumentVersion version() {
