--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -153,6 +153,7 @@
                                 incarnation,
                                 mDataLoops.next(),
                                 mTicker,
+                                System::currentTimeMillis,
                                 mMetrics,
                                 mTracer,
                                 mSnapshots,
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Handlers shared by the connections between nodes. */
+package org.foxtailmoor.node.codec;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.FoxtailmoorException;
@@ -54,6 +55,7 @@
      * @param incarnation start time of the process in milliseconds since the epoch
      * @param loop data loop
      * @param ticker clock
+     * @param timeOfDay time of day in milliseconds since the epoch, for the ages of keys
      * @param metrics registry for the metrics
      * @param tracer records the trace hops
      * @param snapshots routing snapshot in force
@@ -65,6 +67,7 @@
             long incarnation,
             EventLoop loop,
             Ticker ticker,
+            LongSupplier timeOfDay,
             MetricRegistry metrics,
             HopTracer tracer,
             SnapshotReference<RoutingSnapshot> snapshots,
@@ -97,7 +100,7 @@
         SplittableRandom random = new SplittableRandom();
         BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
         DataMetrics metrics = new DataMetrics(parts.metrics());
-        mClock = EpochClock.of(ticker, System.currentTimeMillis());
+        mClock = EpochClock.of(ticker, parts.timeOfDay().getAsLong());
         mUpstreams = UpstreamTable.of(ticker);
         mAdmission = AdmissionController.of(ticker, INITIAL_SLOTS);
         mGuard = CrashGuard.of(ticker, node.service(), node.id());
@@ -262,7 +265,7 @@
         }
         if (mTicks % TICKS_PER_SECOND == 0) {
             mCallers.tick();
-            mClock.adjust(System.currentTimeMillis());
+            mClock.adjust(mParts.timeOfDay().getAsLong());
         }
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -3,11 +3,11 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import org.foxtailmoor.node.codec.MessageDecoder;
 import org.foxtailmoor.protocol.generated.BodyChunk;
 import org.foxtailmoor.protocol.generated.Cancel;
 import org.foxtailmoor.protocol.generated.GoingAway;
@@ -41,7 +41,7 @@
         // One system call for the frames that one pass of the event loop writes.
         pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true));
         pipeline.addLast(new ProtobufVarint32FrameDecoder(MAXIMUM_FRAME_BYTES));
-        pipeline.addLast(new ProtobufDecoder(RequestMessage.getDefaultInstance()));
+        pipeline.addLast(new MessageDecoder<>(RequestMessage.parser()));
         pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
         pipeline.addLast(new ProtobufEncoder());
     }
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
@@ -0,0 +1,165 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.RequestMessage;
+import org.foxtailmoor.protocol.generated.RequestStart;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The home's end of a link, frame by frame. */
+class LinkServerHandlerTest {
+    private final MockTicker mTicker = Ticker.newMockTicker();
+    private final BodyMemory mMemory = BodyMemory.of(200_000);
+    private final FakeHome mHome = new FakeHome();
+    private final LinkServer mServer = new LinkServer("home-1", 1, mHome, mMemory, mTicker);
+    private EmbeddedChannel mChannel;
+    private LinkServerHandler mLink;
+
+    /** Keeps the calls open until the test answers them. */
+    private static final class FakeHome implements Home {
+        private final List<HomeCall> mCalls = new ArrayList<>();
+        private final List<OutcomeListener> mListeners = new ArrayList<>();
+        private int mCancelled;
+
+        @Override
+        public Cancellable submit(HomeCall call, OutcomeListener listener) {
+            mCalls.add(call);
+            mListeners.add(listener);
+            call.body().release();
+            return () -> mCancelled++;
+        }
+
+        @Override
+        public Load load() {
+            return Load.newBuilder().setSlots(7).build();
+        }
+
+        @Override
+        public boolean isLeaving() {
+            return false;
+        }
+    }
+
+    @BeforeEach
+    void open() {
+        mChannel = new EmbeddedChannel();
+        mLink = new LinkServerHandler(mChannel, mHome, mMemory, mTicker, mServer);
+        mChannel.pipeline().addLast(mLink);
+    }
+
+    @AfterEach
+    void close() {
+        mChannel.finishAndReleaseAll();
+        assertThat(mMemory.reservedBytes()).isZero();
+    }
+
+    @Test
+    void requestIsHandedOverOnlyWhenItIsWhole() {
+        receiveStart(1, 6);
+        receiveChunk(1, "abc", false);
+        assertThat(mHome.mCalls).isEmpty();
+        receiveChunk(1, "def", true);
+        assertThat(mHome.mCalls).hasSize(1);
+    }
+
+    @Test
+    void requestShorterThanAnnouncedIsRefused() {
+        receiveStart(1, 6);
+        receiveChunk(1, "abc", true);
+        assertThat(mHome.mCalls).isEmpty();
+        assertThat(sent().get(0).getRefusal().getKind()).isEqualTo("BAD_REQUEST");
+    }
+
+    @Test
+    void requestBeyondTheBodyMemoryIsRefusedAsNotRun() {
+        receiveStart(1, 200_001);
+        receiveChunk(1, "abc", false);
+        RequestMessage refusal = sent().get(0);
+        assertThat(refusal.getRefusal().getKind()).isEqualTo("OVERLOADED");
+        assertThat(refusal.getRefusal().getLoad().getSlots()).isEqualTo(7);
+    }
+
+    @Test
+    void longAnswerIsSentInMarkedChunks() {
+        receiveStart(1, 0);
+        receiveChunk(1, "", true);
+        int length = Frames.CHUNK_BYTES + 10;
+        BodyCollector body = BodyCollector.of(mMemory, mChannel.alloc(), length, length);
+        body.append(ByteString.copyFrom(new byte[length]));
+        mHome.mListeners.get(0).onOutcome(new Outcome.Answer(200, List.of(), body.finish(), false));
+        mChannel.flushOutbound();
+        List<RequestMessage> sent = sent();
+        assertThat(sent.get(0).getResponseStart().getBodyBytes()).isEqualTo(length);
+        assertThat(sent.get(1).getBodyChunk().getLast()).isFalse();
+        assertThat(sent.get(2).getBodyChunk().getLast()).isTrue();
+        assertThat(sent.get(2).getBodyChunk().getContent().size()).isEqualTo(10);
+        assertThat(mLink.isIdle()).isTrue();
+    }
+
+    @Test
+    void lostLinkCancelsItsRequests() {
+        receiveStart(1, 0);
+        receiveChunk(1, "", true);
+        receiveStart(2, 5);
+        mChannel.close();
+        assertThat(mHome.mCancelled).isEqualTo(1);
+        // An outcome that comes later has no link to go to and must be released.
+        BodyCollector body = BodyCollector.of(mMemory, mChannel.alloc(), 1, 1);
+        body.append(ByteString.copyFromUtf8("x"));
+        mHome.mListeners.get(0).onOutcome(new Outcome.Answer(200, List.of(), body.finish(), false));
+    }
+
+    @Test
+    void cancelFrameCancelsTheRequest() {
+        receiveStart(1, 0);
+        receiveChunk(1, "", true);
+        mChannel.writeInbound(Frames.cancel(1));
+        assertThat(mHome.mCancelled).isEqualTo(1);
+    }
+
+    @Test
+    void silentPeerLosesItsLink() {
+        mTicker.advance(3, TimeUnit.SECONDS);
+        mLink.tick();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    private void receiveStart(long stream, int bytes) {
+        RequestStart start =
+                RequestStart.newBuilder()
+                        .setBodyBytes(bytes)
+                        .setDeadlineMilliseconds(1_000)
+                        .build();
+        mChannel.writeInbound(Frames.requestStart(stream, start));
+    }
+
+    private void receiveChunk(long stream, String text, boolean last) {
+        BodyChunk chunk =
+                BodyChunk.newBuilder()
+                        .setContent(ByteString.copyFromUtf8(text))
+                        .setLast(last)
+                        .build();
+        mChannel.writeInbound(
+                RequestMessage.newBuilder().setStream(stream).setBodyChunk(chunk).build());
+    }
+
+    private List<RequestMessage> sent() {
+        List<RequestMessage> sent = new ArrayList<>();
+        for (Object next = mChannel.readOutbound(); next != null; next = mChannel.readOutbound()) {
+            sent.add((RequestMessage) next);
+        }
+        return sent;
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkTest.java
@@ -0,0 +1,229 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.Refusal;
+import org.foxtailmoor.protocol.generated.RequestMessage;
+import org.foxtailmoor.protocol.generated.RequestStart;
+import org.foxtailmoor.protocol.generated.ResponseStart;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The entry's end of a link, frame by frame. */
+class LinkTest {
+    private final MockTicker mTicker = Ticker.newMockTicker();
+    private final BodyMemory mMemory = BodyMemory.of(100_000);
+    private final List<Load> mLoads = new ArrayList<>();
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private Boolean mClosedAsFailed;
+    private Link mLink;
+
+    /** Collects what a stream was told. */
+    private static final class Collected implements AttemptListener {
+        private final List<Outcome> mOutcomes = new ArrayList<>();
+        private Boolean mLostAfterSending;
+
+        @Override
+        public void onOutcome(Outcome outcome) {
+            mOutcomes.add(outcome);
+        }
+
+        @Override
+        public void onLost(boolean sent) {
+            mLostAfterSending = sent;
+        }
+
+        String text() {
+            Outcome.Answer answer = (Outcome.Answer) mOutcomes.get(0);
+            return answer.body().content().toString(StandardCharsets.UTF_8);
+        }
+
+        ErrorKind kind() {
+            return ((Outcome.Failure) mOutcomes.get(0)).kind();
+        }
+    }
+
+    @BeforeEach
+    void open() {
+        Link.Listener listener =
+                new Link.Listener() {
+                    @Override
+                    public void onLoad(Link link, Load load) {
+                        mLoads.add(load);
+                    }
+
+                    @Override
+                    public void onGoingAway(Link link) {}
+
+                    @Override
+                    public void onClosed(Link link, boolean failed) {
+                        mClosedAsFailed = failed;
+                    }
+                };
+        mLink = new Link(mChannel, mMemory, mTicker, listener);
+        mChannel.pipeline().addLast(mLink);
+    }
+
+    @AfterEach
+    void close() {
+        mChannel.finishAndReleaseAll();
+    }
+
+    @Test
+    void crossedAnswersReachTheirOwnRequests() {
+        Collected first = send();
+        Collected second = send();
+        receive(2, start(4));
+        receive(1, start(3));
+        receive(2, chunk("se", false));
+        receive(1, chunk("one", true));
+        receive(2, chunk("co", true));
+        assertThat(first.text()).isEqualTo("one");
+        assertThat(second.text()).isEqualTo("seco");
+    }
+
+    @Test
+    void answerCutByALostLinkIsNoAnswer() {
+        Collected request = send();
+        receive(1, start(6));
+        receive(1, chunk("hal", false));
+        mChannel.close();
+        assertThat(request.mOutcomes).isEmpty();
+        assertThat(request.mLostAfterSending).isTrue();
+        assertThat(mClosedAsFailed).isTrue();
+        assertThat(mMemory.reservedBytes()).isZero();
+    }
+
+    @Test
+    void answerShorterThanAnnouncedIsAFailure() {
+        Collected request = send();
+        receive(1, start(6));
+        receive(1, chunk("hal", true));
+        assertThat(request.kind()).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+        assertThat(mMemory.reservedBytes()).isZero();
+    }
+
+    @Test
+    void answerLongerThanAnnouncedIsAFailure() {
+        Collected request = send();
+        receive(1, start(2));
+        receive(1, chunk("long", true));
+        assertThat(request.kind()).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+    }
+
+    @Test
+    void answerBeyondTheBodyMemoryIsAFailure() {
+        Collected request = send();
+        receive(1, start(100_001));
+        assertThat(request.kind()).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+    }
+
+    @Test
+    void lateFramesOfACancelledRequestAreDropped() {
+        Collected request = new Collected();
+        Cancellable cancellation = open(request);
+        receive(1, start(3));
+        cancellation.cancel();
+        receive(1, chunk("one", true));
+        assertThat(request.mOutcomes).isEmpty();
+        assertThat(mMemory.reservedBytes()).isZero();
+        assertThat(sent()).anyMatch(RequestMessage::hasCancel);
+    }
+
+    @Test
+    void refusalCarriesKindAndLoad() {
+        Collected request = send();
+        Refusal refusal =
+                Refusal.newBuilder()
+                        .setKind("OVERLOADED")
+                        .setRetryAfterMilliseconds(70)
+                        .setLoad(Load.newBuilder().setRunning(4).setSlots(4))
+                        .build();
+        receive(1, RequestMessage.newBuilder().setRefusal(refusal));
+        Outcome.Failure failure = (Outcome.Failure) request.mOutcomes.get(0);
+        assertThat(failure.kind()).isEqualTo(ErrorKind.OVERLOADED);
+        assertThat(failure.retryAfterMilliseconds()).isEqualTo(70);
+        assertThat(mLoads.get(0).getRunning()).isEqualTo(4);
+    }
+
+    @Test
+    void silentLinkIsPingedAndClosed() {
+        advanceAndTick(1_000);
+        assertThat(sent()).anyMatch(RequestMessage::hasPing);
+        receive(0, Frames.pong(1).toBuilder());
+        advanceAndTick(2_900);
+        assertThat(mChannel.isOpen()).isTrue();
+        Collected request = send();
+        advanceAndTick(100);
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(request.mLostAfterSending).isTrue();
+        assertThat(mClosedAsFailed).isTrue();
+    }
+
+    @Test
+    void requestThatIsNotWholeOnTheLinkIsKnownNotToHaveRun() {
+        // The channel takes the start but no chunk, so that the last mark stays in the queue.
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        BodyCollector body = BodyCollector.of(mMemory, mChannel.alloc(), 3, 3);
+        body.append(ByteString.copyFromUtf8("abc"));
+        Collected request = new Collected();
+        mLink.open(RequestStart.getDefaultInstance(), body.finish(), request);
+        mChannel.close();
+        assertThat(request.mLostAfterSending).isFalse();
+        assertThat(mMemory.reservedBytes()).isZero();
+    }
+
+    private Collected send() {
+        Collected collected = new Collected();
+        open(collected);
+        return collected;
+    }
+
+    private Cancellable open(Collected collected) {
+        return mLink.open(RequestStart.getDefaultInstance(), HeldBody.empty(), collected);
+    }
+
+    private void advanceAndTick(long milliseconds) {
+        mTicker.advance(milliseconds, TimeUnit.MILLISECONDS);
+        mLink.tick();
+        mChannel.runPendingTasks();
+    }
+
+    private void receive(long stream, RequestMessage.Builder message) {
+        mChannel.writeInbound(message.setStream(stream).build());
+    }
+
+    private List<RequestMessage> sent() {
+        List<RequestMessage> sent = new ArrayList<>();
+        for (Object next = mChannel.readOutbound(); next != null; next = mChannel.readOutbound()) {
+            sent.add((RequestMessage) next);
+        }
+        return sent;
+    }
+
+    private static RequestMessage.Builder start(int bytes) {
+        return RequestMessage.newBuilder()
+                .setResponseStart(ResponseStart.newBuilder().setStatus(200).setBodyBytes(bytes));
+    }
+
+    private static RequestMessage.Builder chunk(String text, boolean last) {
+        return RequestMessage.newBuilder()
+                .setBodyChunk(
+                        BodyChunk.newBuilder()
+                                .setContent(ByteString.copyFromUtf8(text))
+                                .setLast(last));
+    }
+}
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -14,6 +14,8 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.SettingsReader;
@@ -47,6 +49,27 @@
         }
     }
 
+    /** The system's clock, which a test can put forward. */
+    private static final class AheadTicker implements Ticker {
+        private volatile long mAheadMilliseconds;
+
+        @Override
+        public long initialNanoTime() {
+            return Ticker.systemTicker().initialNanoTime();
+        }
+
+        @Override
+        public long nanoTime() {
+            return Ticker.systemTicker().nanoTime()
+                    + TimeUnit.MILLISECONDS.toNanos(mAheadMilliseconds);
+        }
+
+        @Override
+        public void sleep(long delay, TimeUnit unit) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
     private record Snapshots(SnapshotReference<RoutingSnapshot> reference) {}
 
     private final EventLoopGroup mGroup =
@@ -55,7 +78,10 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<Node> mNodes = new ArrayList<>();
+    private final AheadTicker mTicker = new AheadTicker();
+    private final List<Instance> mStrangers = new ArrayList<>();
     private int mRevision;
+    private int mKeys;
 
     EventLoop loop() {
         return mLoop;
@@ -96,7 +122,8 @@
                                 NodeSettings.of(SettingsReader.of("test", text)),
                                 1,
                                 mLoop,
-                                Ticker.systemTicker(),
+                                mTicker,
+                                () -> System.currentTimeMillis() + mTicker.mAheadMilliseconds,
                                 metrics,
                                 new PassingTracer(),
                                 snapshots.reference(),
@@ -115,6 +142,7 @@
         for (Node node : mNodes) {
             instances.add(instanceOf(node));
         }
+        instances.addAll(mStrangers);
         RoutingSnapshot snapshot =
                 RoutingSnapshot.of(
                         CatalogueSnapshot.of(version(), entries()), version(), instances);
@@ -126,6 +154,27 @@
         return this;
     }
 
+    /** Lists an upstream that is not a node of this fleet. */
+    void list(String id, String service, int nodePort) {
+        mStrangers.add(instance(id, service, nodePort));
+    }
+
+    /** Puts the clock forward. */
+    void advance(long milliseconds) {
+        mTicker.mAheadMilliseconds += milliseconds;
+    }
+
+    /** Returns an idempotency key that was created now. */
+    String newKey() {
+        long now = System.currentTimeMillis() + mTicker.mAheadMilliseconds;
+        return new UUID(now << 16 | 0x7000 | ++mKeys, 0x8000000000000000L).toString();
+    }
+
+    /** Runs a call on the data loop, after everything that was given to the loop before. */
+    <T> T onLoop(Callable<T> call) throws Exception {
+        return mLoop.submit(call).get(10, TimeUnit.SECONDS);
+    }
+
     CompletableFuture<HttpResponse<String>> get(Node node, String path) {
         return send(HttpRequest.newBuilder(node.uri(path)).GET().build());
     }
@@ -149,7 +198,7 @@
     }
 
     private ViewLease lease() {
-        long now = Ticker.systemTicker().nanoTime();
+        long now = mTicker.nanoTime();
         return new ViewLease(version(), true, now + TimeUnit.SECONDS.toNanos(60), 0);
     }
 
@@ -161,13 +210,17 @@
     }
 
     private static Instance instanceOf(Node node) {
+        return instance(node.id(), node.service(), node.data().nodeAddress().getPort());
+    }
+
+    private static Instance instance(String id, String service, int nodePort) {
         return Instance.newBuilder()
-                .setId(node.id())
-                .setServiceId(node.service())
+                .setId(id)
+                .setServiceId(service)
                 .setRegion("doo")
                 .setZone("sapporo-a")
                 .setAddress("127.0.0.1")
-                .setNodePort(node.data().nodeAddress().getPort())
+                .setNodePort(nodePort)
                 .build();
     }
 
