--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CallerPortTest.java
@@ -0,0 +1,173 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The caller port over real sockets: framing, limits, order of answers and cancellation. */
+class CallerPortTest {
+    private static final int BODY_MEMORY_BYTES = 65_536;
+
+    private final TestFleet mFleet = new TestFleet();
+    private FakeTarget mTarget;
+    private TestFleet.Node mNode;
+    private RawCaller mCaller;
+
+    @BeforeEach
+    void start() throws Exception {
+        mTarget = new FakeTarget();
+        mNode =
+                mFleet.add(
+                        "order-1",
+                        TestFleet.ORDERS,
+                        mTarget.address(),
+                        "body_memory_bytes = " + BODY_MEMORY_BYTES);
+        mFleet.publish();
+        mCaller = new RawCaller(mNode.data().callerAddress());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mCaller.close();
+        mFleet.close();
+        mTarget.close();
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+        mCaller.send(get("/orders/1") + get("/orders/2"));
+        FakeTarget.Received first = mTarget.take();
+        assertThat(first.path()).isEqualTo("/orders/1");
+        first.answer(200, "one");
+        assertThat(mCaller.read().body()).isEqualTo("one");
+        mTarget.take().answer(200, "two");
+        assertThat(mCaller.read().body()).isEqualTo("two");
+    }
+
+    @Test
+    void callerThatClosesCancelsAtTheTarget() throws Exception {
+        mCaller.send(get("/orders/1"));
+        mTarget.take();
+        mCaller.close();
+        mTarget.closedByPeer().get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void deadlineIsPassedOnAndEndsTheRequest() throws Exception {
+        mCaller.send(
+                "GET /orders/1 HTTP/1.1\r\nHost: a\r\n"
+                        + "Foxtailmoor-Deadline-Milliseconds: 200\r\n\r\n");
+        String left = mTarget.take().headers().get("foxtailmoor-deadline-milliseconds");
+        assertThat(Integer.parseInt(left)).isBetween(1, 200);
+        RawCaller.Answer answer = mCaller.read();
+        assertThat(answer.status()).isEqualTo(504);
+        assertThat(answer.headers()).containsEntry("foxtailmoor-error", "DEADLINE_EXCEEDED");
+        assertThat(answer.headers()).containsEntry("foxtailmoor-outcome", "unknown");
+        mTarget.closedByPeer().get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void malformedDeadlineIsRefused() throws Exception {
+        mCaller.send(
+                "GET /orders HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Deadline-Milliseconds: x\r\n\r\n");
+        assertThat(mCaller.read().status()).isEqualTo(400);
+    }
+
+    @Test
+    void chunkedBodyReachesTheTargetWhole() throws Exception {
+        mCaller.send("POST /orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        mCaller.send("3\r\nabc\r\n").send("2\r\nde\r\n0\r\n\r\n");
+        FakeTarget.Received received = mTarget.take();
+        assertThat(new String(received.body())).isEqualTo("abcde");
+        assertThat(received.headers()).doesNotContainKey("transfer-encoding");
+        received.answer(200, "");
+        assertThat(mCaller.read().status()).isEqualTo(200);
+        assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+    }
+
+    @Test
+    void bodyCutByTheCallerNeverRuns() throws Exception {
+        mCaller.send("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+        mCaller.close();
+        // A later request proves that the node has seen the end of the first.
+        try (RawCaller later = new RawCaller(mNode.data().callerAddress())) {
+            later.send(get("/orders/later"));
+            FakeTarget.Received received = mTarget.take();
+            assertThat(received.path()).isEqualTo("/orders/later");
+            received.answer(200, "");
+            later.read();
+        }
+        assertThat(mTarget.waiting()).isZero();
+    }
+
+    @Test
+    void bodyBeyondTheLimitOfTheRouteIsRefused() throws Exception {
+        mCaller.send("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 1000001\r\n\r\n");
+        RawCaller.Answer answer = mCaller.read();
+        assertThat(answer.status()).isEqualTo(413);
+        assertThat(answer.headers()).containsEntry("connection", "close");
+        assertThat(mCaller.isEnded()).isTrue();
+    }
+
+    @Test
+    void bodyBeyondTheBodyMemoryIsRefusedAsNotRun() throws Exception {
+        mCaller.send("POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 65537\r\n\r\n");
+        RawCaller.Answer answer = mCaller.read();
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.headers())
+                .containsEntry("foxtailmoor-error", "OVERLOADED")
+                .containsEntry("foxtailmoor-outcome", "not-run")
+                .containsEntry("retry-after", "1");
+        assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+    }
+
+    @Test
+    void refusalOfASmallBodyKeepsTheConnection() throws Exception {
+        mCaller.send("POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+        assertThat(mCaller.read().headers()).containsEntry("foxtailmoor-error", "NO_ROUTE");
+        mCaller.send(get("/orders/1"));
+        mTarget.take().answer(200, "one");
+        assertThat(mCaller.read().body()).isEqualTo("one");
+    }
+
+    @Test
+    void headAnswerKeepsItsLengthWithoutABody() throws Exception {
+        mCaller.send("HEAD /orders/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        mTarget.take().send("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+        RawCaller.Answer answer = mCaller.read(true);
+        assertThat(answer.headers()).containsEntry("content-length", "77");
+        mCaller.send(get("/orders/2"));
+        mTarget.take().answer(200, "two");
+        assertThat(mCaller.read().body()).isEqualTo("two");
+    }
+
+    @Test
+    void bodyIsAskedForOnlyWhenTheRequestMayRun() throws Exception {
+        mCaller.send(
+                "POST /orders HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                        + "Content-Length: 3\r\n\r\n");
+        assertThat(mCaller.read().status()).isEqualTo(100);
+        mCaller.send("abc");
+        mTarget.take().answer(200, "done");
+        assertThat(mCaller.read().body()).isEqualTo("done");
+    }
+
+    @Test
+    void malformedRequestIsRefused() throws Exception {
+        mCaller.send("GET nowhere HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertThat(mCaller.read().headers()).containsEntry("foxtailmoor-error", "BAD_REQUEST");
+        assertThat(mCaller.isEnded()).isTrue();
+    }
+
+    private long reservedBytes() {
+        return (Long)
+                mNode.metrics().getGauges().get("foxtailmoor.bodies.reserved_bytes").getValue();
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetFailureTest.java
@@ -0,0 +1,109 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Targets that crash, cut their answers or are not there. */
+class TargetFailureTest {
+    private final TestFleet mFleet = new TestFleet();
+    private FakeTarget mTarget;
+    private TestFleet.Node mEntry;
+
+    @BeforeEach
+    void start() throws Exception {
+        mTarget = new FakeTarget();
+        mEntry = mFleet.add("entry", TestFleet.ORDERS, mTarget.address());
+        mFleet.add("lookup-1", TestFleet.LOOKUPS, mTarget.address());
+        mFleet.add("lookup-2", TestFleet.LOOKUPS, mTarget.address());
+        mFleet.publish();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        mTarget.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                "HTTP/1.1 200 OK\r\n\r\nabc",
+                "HTTP/1.1 200 OK\r\nContent-Le",
+                "nonsense\r\n\r\n"
+            })
+    void cutAnswerNeverLooksComplete(String answerInPart) throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = mFleet.post(mEntry, "/orders", "maps");
+        FakeTarget.Received received = mTarget.take();
+        received.send(answerInPart);
+        received.closeConnection();
+        assertThat(answer.get().statusCode()).isEqualTo(409);
+        assertThat(answer.get().headers().firstValue("foxtailmoor-error"))
+                .contains("OUTCOME_UNKNOWN");
+        assertThat(mTarget.waiting()).isZero();
+    }
+
+    @Test
+    void crashingRequestIsNeverRepeatedAndRefusedAtTheLimit() throws Exception {
+        for (int crash = 1; crash <= 2; crash++) {
+            CompletableFuture<HttpResponse<String>> answer = mFleet.post(mEntry, "/orders", "bad");
+            mTarget.take().closeConnection();
+            assertThat(answer.get().statusCode()).isEqualTo(409);
+        }
+        HttpResponse<String> refused = mFleet.post(mEntry, "/orders", "bad").get();
+        assertThat(refused.statusCode()).isEqualTo(422);
+        assertThat(refused.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+        assertThat(mTarget.waiting()).isZero();
+    }
+
+    @Test
+    void idempotentRequestThatCrashesATargetIsNotSentToAnother() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = mFleet.get(mEntry, "/racks/1");
+        mTarget.take().closeConnection();
+        assertThat(answer.get().statusCode()).isEqualTo(502);
+        assertThat(mTarget.waiting()).isZero();
+    }
+
+    @Test
+    void requestThatRanBesideACrashIsClearedWhenItCompletesAlone() throws Exception {
+        CompletableFuture<HttpResponse<String>> bad = mFleet.post(mEntry, "/orders", "bad");
+        CompletableFuture<HttpResponse<String>> good = mFleet.post(mEntry, "/orders", "good");
+        FakeTarget.Received first = mTarget.take();
+        FakeTarget.Received second = mTarget.take();
+        first.closeConnection();
+        second.closeConnection();
+        bad.get();
+        good.get();
+        for (int i = 0; i < 3; i++) {
+            CompletableFuture<HttpResponse<String>> again = mFleet.post(mEntry, "/orders", "good");
+            mTarget.take().answer(200, "done");
+            assertThat(again.get().statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void absentTargetIsStatedAsNotRun() throws Exception {
+        mTarget.close();
+        HttpResponse<String> answer = mFleet.post(mEntry, "/orders", "maps").get();
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.headers().firstValue("foxtailmoor-error")).contains("NO_UPSTREAM");
+        assertThat(answer.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+    }
+
+    @Test
+    void interimAnswerIsSkipped() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = mFleet.post(mEntry, "/orders", "maps");
+        FakeTarget.Received received = mTarget.take();
+        received.send("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+        received.answer(200, "done");
+        assertThat(answer.get().body()).isEqualTo("done");
+    }
+}
