--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -0,0 +1,189 @@
+package org.foxtailmoor.node.data;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.home.Fingerprint;
+import org.foxtailmoor.core.home.HomeRequest;
+import org.foxtailmoor.core.home.StoredAnswer;
+import org.foxtailmoor.core.routing.IdempotencyKey;
+import org.foxtailmoor.core.routing.Route;
+import org.foxtailmoor.node.trace.Hop;
+import org.foxtailmoor.protocol.generated.Header;
+import org.foxtailmoor.protocol.generated.RequestStart;
+
+/** One request at its home, from its whole arrival to its outcome. */
+final class HomeTask implements HomeRequest, TargetListener {
+    private static final byte[] NO_BYTES = {};
+
+    private final HomeGateway mHome;
+    private final HomeCall mCall;
+    private final Route mRoute;
+    private final IdempotencyKey mKey;
+    private final Fingerprint mFingerprint;
+    private final Hop mHop;
+    private final long mStartedNanoseconds;
+    private OutcomeListener mListener;
+    private Cancellable mTargetCall;
+    private Outcome.Failure mLastFailure;
+    private long mDispatchedNanoseconds;
+    private boolean mEnded;
+
+    HomeTask(
+            HomeGateway home,
+            HomeCall call,
+            Route route,
+            IdempotencyKey key,
+            Hop hop,
+            OutcomeListener listener) {
+        mHome = home;
+        mCall = call;
+        mRoute = route;
+        mKey = key;
+        mHop = hop;
+        mListener = listener;
+        mStartedNanoseconds = home.ticker().nanoTime();
+        mFingerprint =
+                Fingerprint.of(
+                        call.start().getMethod(), call.start().getPath(), bytesOf(call.body()));
+    }
+
+    @Override
+    public Route route() {
+        return mRoute;
+    }
+
+    @Override
+    public IdempotencyKey key() {
+        return mKey;
+    }
+
+    @Override
+    public Fingerprint fingerprint() {
+        return mFingerprint;
+    }
+
+    @Override
+    public long deadlineNanoseconds() {
+        return mCall.deadlineNanoseconds();
+    }
+
+    @Override
+    public void dispatch() {
+        RequestStart start = mCall.start();
+        mDispatchedNanoseconds = mHome.ticker().nanoTime();
+        mTargetCall =
+                mHome.target()
+                        .send(
+                                new TargetRequest(
+                                        start.getMethod(),
+                                        start.getPath(),
+                                        HeaderFields.withTrace(
+                                                start.getHeadersList(), mHop.traceparent()),
+                                        mCall.body(),
+                                        mCall.deadlineNanoseconds(),
+                                        mRoute.isIdempotent()),
+                                this);
+    }
+
+    @Override
+    public void answer(StoredAnswer answer) {
+        mHome.metrics().homeReplayed().inc();
+        BodyCollector body = mHome.collector(answer.body().length);
+        if (body == null) {
+            // The request has run, so that a refusal as not run would be wrong.
+            end(Outcome.Failure.of(ErrorKind.ALREADY_RUN, "no memory to repeat the answer"));
+            return;
+        }
+        body.append(Unpooled.wrappedBuffer(answer.body()));
+        end(new Outcome.Answer(answer.status(), answer.headers(), body.finish(), true));
+    }
+
+    @Override
+    public void refuse(ErrorKind kind, int retryAfterMilliseconds) {
+        mHome.metrics().countHomeRefusal(kind);
+        end(failure(kind, retryAfterMilliseconds));
+    }
+
+    @Override
+    public boolean isStillAllowed() {
+        return mHome.requests().confirmDispatch(this);
+    }
+
+    @Override
+    public void onAnswer(Outcome.Answer answer) {
+        mHome.metrics()
+                .targetDuration()
+                .update(mHome.ticker().nanoTime() - mDispatchedNanoseconds, TimeUnit.NANOSECONDS);
+        byte[] stored = mKey == null ? NO_BYTES : bytesOf(answer.body());
+        List<Header> headers = mKey == null ? List.of() : answer.headers();
+        mHome.requests().completed(this, new StoredAnswer(answer.status(), headers, stored));
+        end(answer);
+    }
+
+    @Override
+    public void onFailure(Outcome.Failure failure, boolean crashed) {
+        mLastFailure = failure;
+        if (crashed) {
+            mHome.onCrash(this);
+        } else if (failure.kind().isNotRun()) {
+            mHome.requests().notSent(this, failure.kind());
+        } else {
+            mHome.requests().failed(this, failure.kind());
+        }
+    }
+
+    /**
+     * Ends the caller's interest. Work with an idempotency key that has reached the target goes on,
+     * so that a repeat of the request finds its outcome.
+     */
+    void cancel() {
+        if (mEnded) {
+            return;
+        }
+        mListener = null;
+        switch (mHome.requests().cancel(this)) {
+            case NOT_RUN, ENDED -> end(failure(ErrorKind.CANCELLED, 0));
+            case CANCEL_AT_TARGET -> {
+                mTargetCall.cancel();
+                mHome.requests().failed(this, ErrorKind.CANCELLED);
+            }
+            default -> {
+                // The work goes on without a listener.
+            }
+        }
+    }
+
+    private Outcome.Failure failure(ErrorKind kind, int retryAfterMilliseconds) {
+        boolean explained = mLastFailure != null && mLastFailure.kind() == kind;
+        String message = explained ? mLastFailure.message() : ErrorMessages.of(kind);
+        return new Outcome.Failure(kind, message, retryAfterMilliseconds);
+    }
+
+    private void end(Outcome outcome) {
+        if (mEnded) {
+            outcome.release();
+            return;
+        }
+        mEnded = true;
+        mCall.body().release();
+        long duration = mHome.ticker().nanoTime() - mStartedNanoseconds;
+        mHome.metrics().homeDuration().update(duration, TimeUnit.NANOSECONDS);
+        if (outcome instanceof Outcome.Failure failure) {
+            mHop.end(failure.kind().status(), failure.kind().name());
+        } else if (outcome instanceof Outcome.Answer answer) {
+            mHop.end(answer.status(), null);
+        }
+        if (mListener == null) {
+            outcome.release();
+        } else {
+            mListener.onOutcome(outcome);
+        }
+    }
+
+    private static byte[] bytesOf(HeldBody body) {
+        return body.length() == 0 ? NO_BYTES : ByteBufUtil.getBytes(body.content());
+    }
+}
