Let a full key ledger take younger keys, and poison only confirmed requests

Cause 1: a full ledger refused every new key until the oldest was 24 h old. At the target size a home gets about 8 keyed requests a second, 20,000 in 42 minutes, and would then refuse all orders. Now the oldest ended key is forgotten, and unknown keys that are not younger than the youngest forgotten one have an unknown outcome; a forgotten key still never runs again. Held answers are limited to 4 MiB in place of 16 MiB, since a node has 64 MB.

Cause 2: a request that many callers send, such as a common lookup, is in flight beside every crash, so two crashes on two nodes poisoned it for 10 minutes. With a crash limit above 1, one crash must now have come while the request was the only suspect in flight.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashGuard.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashGuard.java
@@ -17,7 +17,9 @@
  *
  * <p>A fingerprint with a crash is a suspect until its request completes alone, or until 10 minutes
  * pass without another crash. At the crash limit it is poisoned for 10 minutes from its last crash;
- * afterwards its counts start again.
+ * afterwards its counts start again. With a limit above 1, at least one of the crashes must have
+ * come while it was the only suspect in flight: a request that many callers send is in flight
+ * beside every crash, and would otherwise be poisoned in place of its neighbour.
  */
 public final class CrashGuard {
     /** Time for which a fingerprint is poisoned, and for which a crash counts. */
@@ -74,17 +76,27 @@
         }
         expire(record, mTicker.nanoTime());
         int crashes = record.crashes();
-        if (crashes >= Math.max(1, crashLimit)) {
+        boolean confirmed = crashLimit <= 1 || record.crashesAsSuspect() > 0;
+        if (confirmed && crashes >= Math.max(1, crashLimit)) {
             return Verdict.POISONED;
         }
         return crashes > 0 ? Verdict.SUSPECT : Verdict.CLEAR;
     }
 
-    /** Counts a crash of the own target with the request in flight. */
-    public void crashed(Fingerprint fingerprint) {
+    /**
+     * Counts a crash of the own target with a request in flight.
+     *
+     * @param fingerprint fingerprint of the request, not null
+     * @param onlySuspect whether no other request in flight was a suspect or there was no other one
+     */
+    public void crashed(Fingerprint fingerprint, boolean onlySuspect) {
         CrashRecord record = recordOf(fingerprint);
         expire(record, mTicker.nanoTime());
-        record.state(mInstanceId, record.stated(mInstanceId) + 1, false);
+        record.state(
+                mInstanceId,
+                record.stated(mInstanceId) + 1,
+                record.statedAsSuspect(mInstanceId) + (onlySuspect ? 1 : 0),
+                false);
         ownChange(record);
     }
 
@@ -93,7 +105,11 @@
         CrashRecord record = mRecords.get(fingerprint);
         if (record != null && record.crashes() > 0) {
             record.clear();
-            record.state(mInstanceId, record.stated(mInstanceId), true);
+            record.state(
+                    mInstanceId,
+                    record.stated(mInstanceId),
+                    record.statedAsSuspect(mInstanceId),
+                    true);
             ownChange(record);
         }
     }
@@ -109,7 +125,8 @@
             CrashRecord record = recordOf(fingerprint);
             expire(record, mTicker.nanoTime());
             int crashes = Math.max(0, report.getCrashes());
-            if (record.state(report.getReporter(), crashes, report.getExonerated())) {
+            int asSuspect = Math.max(0, report.getCrashesAsSuspect());
+            if (record.state(report.getReporter(), crashes, asSuspect, report.getExonerated())) {
                 record.mChangedNanoseconds = mTicker.nanoTime();
             }
         }
@@ -149,6 +166,7 @@
                 .setFingerprint(fingerprint.toBytes())
                 .setReporter(mInstanceId)
                 .setCrashes(record.stated(mInstanceId))
+                .setCrashesAsSuspect(record.statedAsSuspect(mInstanceId))
                 .setExonerated(record.isExonerator(mInstanceId))
                 .build();
     }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashRecord.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashRecord.java
@@ -1,17 +1,15 @@
 package org.foxtailmoor.core.home;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 
 /** Crash counts of one fingerprint by reporter. Times are ticker times in nanoseconds. */
 final class CrashRecord {
-    /** Counts as last stated by each reporter, own counts included; they only grow. */
-    private final Map<String, Integer> mStated = new HashMap<>();
+    /** Crashes with the request in flight. */
+    private final ReportedCounts mCrashes = new ReportedCounts();
 
-    /** Counts of each reporter that were cleared or have expired. */
-    private final Map<String, Integer> mCleared = new HashMap<>();
+    /** Part of the crashes in which the request was the only suspect in flight. */
+    private final ReportedCounts mCrashesAsSuspect = new ReportedCounts();
 
     /** Reporters whose last statement cleared the fingerprint. */
     private final Set<String> mExonerators = new HashSet<>();
@@ -25,16 +23,22 @@
 
     /** Returns the crashes that still count, over all reporters. */
     int crashes() {
-        int sum = 0;
-        for (Map.Entry<String, Integer> stated : mStated.entrySet()) {
-            sum += stated.getValue() - mCleared.getOrDefault(stated.getKey(), 0);
-        }
-        return sum;
+        return mCrashes.sum();
+    }
+
+    /** Returns those of the crashes in which the request was the only suspect in flight. */
+    int crashesAsSuspect() {
+        return mCrashesAsSuspect.sum();
     }
 
     /** Returns the crashes that a reporter has stated. */
     int stated(String reporter) {
-        return mStated.getOrDefault(reporter, 0);
+        return mCrashes.of(reporter);
+    }
+
+    /** Returns the crashes as the only suspect that a reporter has stated. */
+    int statedAsSuspect(String reporter) {
+        return mCrashesAsSuspect.of(reporter);
     }
 
     /** Returns whether the reporter's last statement cleared the fingerprint. */
@@ -48,12 +52,10 @@
      *
      * @return whether the statement differs from the last one
      */
-    boolean state(String reporter, int crashes, boolean exonerated) {
-        boolean grew = crashes > stated(reporter);
+    boolean state(String reporter, int crashes, int crashesAsSuspect, boolean exonerated) {
+        boolean grew = mCrashes.raise(reporter, crashes);
+        mCrashesAsSuspect.raise(reporter, crashesAsSuspect);
         boolean newlyExonerated = exonerated && (grew || !isExonerator(reporter));
-        if (grew) {
-            mStated.put(reporter, crashes);
-        }
         if (exonerated) {
             mExonerators.add(reporter);
         } else {
@@ -67,6 +69,7 @@
 
     /** Clears all crashes stated so far. */
     void clear() {
-        mCleared.putAll(mStated);
+        mCrashes.clear();
+        mCrashesAsSuspect.clear();
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -194,7 +194,9 @@
      */
     public void crashed(Collection<? extends HomeRequest> requests) {
         for (HomeRequest request : requests) {
-            mGuard.crashed(request.fingerprint());
+            HomeWork work = mWorks.get(request);
+            boolean onlySuspect = requests.size() == 1 || work != null && work.mAlone;
+            mGuard.crashed(request.fingerprint(), onlySuspect);
         }
         for (HomeRequest request : requests) {
             failed(request, ErrorKind.UPSTREAM_FAILED);
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/KeyLedger.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/KeyLedger.java
@@ -11,8 +11,11 @@
 import org.foxtailmoor.core.routing.IdempotencyKey;
 
 /**
- * Remembers the idempotency keys of one home and their outcomes for 24 h. When full, it refuses new
- * keys instead of forgetting old ones. Belongs to the data loop.
+ * Remembers the idempotency keys of one home and their outcomes for 24 h. Belongs to the data loop.
+ *
+ * <p>When full, it forgets the oldest key that does not run, and from then on gives every unknown
+ * key that is not younger than the youngest forgotten one an unknown outcome. So a forgotten key
+ * never runs again, and new keys run however many come in a day.
  */
 public final class KeyLedger {
     /** Most keys that are remembered. */
@@ -23,9 +26,10 @@
 
     /**
      * Most bytes of answers that are held together. When it is used up, the oldest answers are
-     * dropped and their keys answer "already run": 20,000 answers of 64 KiB would take 1.3 GB.
+     * dropped and their keys answer "already run": 20,000 answers of 64 KiB would take 1.3 GB, and
+     * a node has 64 MB.
      */
-    public static final int ANSWERS_LIMIT_BYTES = 16 * 1024 * 1024;
+    public static final int ANSWERS_LIMIT_BYTES = 4 * 1024 * 1024;
 
     /** Age from which a key is not run any more, in milliseconds. */
     public static final long KEY_AGE_LIMIT_MILLISECONDS = TimeUnit.HOURS.toMillis(24);
@@ -43,6 +47,9 @@
     private final Deque<KeyRecord> mAnswered = new ArrayDeque<>();
     private long mAnswerBytes;
 
+    /** Latest creation time among the forgotten keys, in milliseconds since the epoch. */
+    private long mForgottenMilliseconds = Long.MIN_VALUE;
+
     private KeyLedger(Ticker ticker) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
     }
@@ -53,7 +60,8 @@
     }
 
     /**
-     * Returns the outcome of a key, {@link KeyOutcome#NEW} for an unknown one.
+     * Returns the outcome of a key. An unknown key is {@link KeyOutcome#NEW}, or {@link
+     * KeyOutcome#UNKNOWN} if it may have been forgotten.
      *
      * @param key key, not null
      * @param fingerprint fingerprint of the request that carries the key, not null
@@ -61,7 +69,8 @@
     public KeyOutcome outcome(IdempotencyKey key, Fingerprint fingerprint) {
         KeyRecord record = mRecords.get(key);
         if (record == null) {
-            return KeyOutcome.NEW;
+            boolean mayBeForgotten = key.createdMilliseconds() <= mForgottenMilliseconds;
+            return mayBeForgotten ? KeyOutcome.UNKNOWN : KeyOutcome.NEW;
         }
         boolean same = record.mFingerprint.equals(fingerprint);
         return same ? record.mOutcome : KeyOutcome.OTHER_REQUEST;
@@ -76,10 +85,13 @@
     /**
      * Remembers a new key as running.
      *
-     * @return false if the ledger is full or knows the key
+     * @return false if the ledger is full of running keys, knows the key or may have forgotten it
      */
     public boolean begin(IdempotencyKey key, Fingerprint fingerprint) {
-        if (mRecords.size() >= KEY_LIMIT || mRecords.containsKey(key)) {
+        if (outcome(key, fingerprint) != KeyOutcome.NEW) {
+            return false;
+        }
+        if (mRecords.size() >= KEY_LIMIT && !forgetOldest(key)) {
             return false;
         }
         mRecords.put(key, new KeyRecord(fingerprint, mTicker.nanoTime()));
@@ -133,10 +145,7 @@
             }
             if (record.mOutcome != KeyOutcome.RUNNING) {
                 records.remove();
-                if (record.mAnswer != null) {
-                    mAnswered.remove(record);
-                    dropAnswer(record);
-                }
+                releaseAnswer(record);
             }
         }
     }
@@ -146,6 +155,30 @@
         return mRecords.size();
     }
 
+    /** Forgets the oldest ended key that was created before a new one. */
+    private boolean forgetOldest(IdempotencyKey newKey) {
+        Iterator<Map.Entry<IdempotencyKey, KeyRecord>> records = mRecords.entrySet().iterator();
+        while (records.hasNext()) {
+            Map.Entry<IdempotencyKey, KeyRecord> oldest = records.next();
+            long created = oldest.getKey().createdMilliseconds();
+            boolean ended = oldest.getValue().mOutcome != KeyOutcome.RUNNING;
+            if (ended && created < newKey.createdMilliseconds()) {
+                records.remove();
+                mForgottenMilliseconds = Math.max(mForgottenMilliseconds, created);
+                releaseAnswer(oldest.getValue());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void releaseAnswer(KeyRecord record) {
+        if (record.mAnswer != null) {
+            mAnswered.remove(record);
+            dropAnswer(record);
+        }
+    }
+
     private void dropAnswer(KeyRecord record) {
         mAnswerBytes -= record.mAnswer.sizeBytes();
         record.mAnswer = null;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/KeyLedgerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/KeyLedgerTest.java
@@ -72,6 +72,27 @@
         assertThat(mLedger.size()).isEqualTo(1);
     }
 
+    /**
+     * Guards against a home that refuses all keyed work for the rest of a day after 20,000 keys,
+     * and against running a forgotten key again.
+     */
+    @Test
+    void fullLedgerTakesYoungerKeysAndNeverRunsForgottenOnes() {
+        for (int i = 0; i <= KeyLedger.KEY_LIMIT; i++) {
+            IdempotencyKey key = new IdempotencyKey("key-" + i, i);
+            assertThat(mLedger.begin(key, ORDER)).isTrue();
+            mLedger.finish(key, answer(10));
+        }
+        IdempotencyKey forgotten = new IdempotencyKey("key-0", 0);
+        IdempotencyKey sameTime = new IdempotencyKey("other", 0);
+        assertThat(mLedger.size()).isEqualTo(KeyLedger.KEY_LIMIT);
+        assertThat(mLedger.outcome(forgotten, ORDER)).isEqualTo(KeyOutcome.UNKNOWN);
+        assertThat(mLedger.begin(forgotten, ORDER)).isFalse();
+        assertThat(mLedger.outcome(sameTime, ORDER)).isEqualTo(KeyOutcome.UNKNOWN);
+        assertThat(mLedger.outcome(new IdempotencyKey("key-1", 1), ORDER))
+                .isEqualTo(KeyOutcome.DONE);
+    }
+
     @Test
     void oldestAnswersAreDroppedWhenTheirMemoryIsUsedUp() {
         int answers = KeyLedger.ANSWERS_LIMIT_BYTES / KeyLedger.ANSWER_LIMIT_BYTES;
