--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/package-info.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for outside systems, used by demonstrations and tests. */
+/** Stand-ins for systems outside foxtailmoor, and tools that load and measure it. */
 package org.foxtailmoor.standins;
--- /dev/null
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform: the configuration service and the instance list, with faults. */
+package org.foxtailmoor.standins.platform;
