Add the load tool and the demonstration of the whole path

Nothing showed nodes, catalogues and stand-ins together. The load tool sends at fixed arrival times and verifies every answer; the demonstration starts both example deployments as processes.

--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/StandinsMain.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/StandinsMain.java
@@ -7,6 +7,8 @@
 import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.Program;
+import org.foxtailmoor.standins.demo.DemoProgram;
+import org.foxtailmoor.standins.load.LoadProgram;
 import org.foxtailmoor.standins.platform.PlatformProgram;
 import org.foxtailmoor.standins.target.TargetProgram;
 
@@ -16,7 +18,12 @@
  */
 public final class StandinsMain {
     private static final Map<String, Supplier<Program>> COMMANDS =
-            new TreeMap<>(Map.of("platform", PlatformProgram::new, "target", TargetProgram::new));
+            new TreeMap<>(
+                    Map.of(
+                            "platform", PlatformProgram::new,
+                            "target", TargetProgram::new,
+                            "load", LoadProgram::new,
+                            "demo", DemoProgram::new));
 
     private StandinsMain() {}
 
--- /dev/null
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load tool that verifies every answer. */
+package org.foxtailmoor.standins.load;
