Add the measurements of a fleet on one machine

The figures that decide about the design (convergence, control bytes, source calls, added latency, goodput under overload, node cost) had no program that produces them.

--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/StandinsMain.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/StandinsMain.java
@@ -9,6 +9,7 @@
 import org.foxtailmoor.base.Program;
 import org.foxtailmoor.standins.demo.DemoProgram;
 import org.foxtailmoor.standins.load.LoadProgram;
+import org.foxtailmoor.standins.measure.MeasureProgram;
 import org.foxtailmoor.standins.platform.PlatformProgram;
 import org.foxtailmoor.standins.target.TargetProgram;
 
@@ -23,7 +24,8 @@
                             "platform", PlatformProgram::new,
                             "target", TargetProgram::new,
                             "load", LoadProgram::new,
-                            "demo", DemoProgram::new));
+                            "demo", DemoProgram::new,
+                            "measure", MeasureProgram::new));
 
     private StandinsMain() {}
 
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/demo/DemoProgram.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/demo/DemoProgram.java
@@ -90,7 +90,9 @@
                         "{\"slots\":%d,\"service_milliseconds\":3}",
                         fleet.deployment().slots());
         fleet.startStandins(behaviour);
-        fleet.publishCatalogue(catalogue.build(1));
+        Path built = catalogue.build(1);
+        fleet.publishParts(built);
+        fleet.publishManifest(built);
         fleet.publishInstances();
         fleet.startNodes();
     }
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Convergence.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Convergence.java
@@ -40,8 +40,9 @@
      * @throws FoxtailmoorException of kind DISAGREEMENT if a node lacks it after 30 s
      */
     public static Convergence publish(Fleet fleet, Path built, int number, List<NodePlan> nodes) {
+        fleet.publishParts(built);
         long published = System.nanoTime();
-        fleet.publishCatalogue(built);
+        fleet.publishManifest(built);
         Map<String, Double> times = new HashMap<>();
         while (times.size() < nodes.size()) {
             if (System.nanoTime() - published > TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)) {
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Fleet.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Fleet.java
@@ -149,15 +149,22 @@
         awaitAnswers(List.of(targetControl()), "/control/targets", 20);
     }
 
-    /** Publishes a built catalogue: the parts, then the manifest. */
-    public void publishCatalogue(Path built) {
+    /** Publishes the parts of a built catalogue, which must be there before the manifest. */
+    public void publishParts(Path built) {
         try {
             for (Path part : CatalogueSource.parts(built)) {
-                String key = "catalogue/part/" + part.getFileName();
-                publishValue(key, Files.readAllBytes(part));
+                publishValue("catalogue/part/" + part.getFileName(), Files.readAllBytes(part));
             }
-            publishValue(
-                    "catalogue/manifest", Files.readAllBytes(built.resolve("catalogue/manifest")));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Publishes the manifest of a built catalogue; the version counts as published from here. */
+    public void publishManifest(Path built) {
+        try {
+            Path manifest = built.resolve("catalogue/manifest");
+            publishValue("catalogue/manifest", Files.readAllBytes(manifest));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/load/LoadKind.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/load/LoadKind.java
@@ -67,6 +67,20 @@
                 preset.deadlineMilliseconds);
     }
 
+    /** Returns the same kind with another size of the request body. */
+    public LoadKind withBodyBytes(int bytes) {
+        return new LoadKind(
+                name,
+                weight,
+                ratePerSecond,
+                method,
+                path,
+                withKey,
+                bytes,
+                answerBytes,
+                deadlineMilliseconds);
+    }
+
     /** Returns a kind from a text of the form {@code NAME:RATE:PATH}, see {@link #of}. */
     public static LoadKind parse(String text) {
         String[] fields = text.split(":", 3);
