--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/CatalogueSource.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/CatalogueSource.java
@@ -35,6 +35,19 @@
         }
     }
 
+    private CatalogueSource(CatalogueSource other, String text) {
+        mRoot = other.mRoot;
+        mDirectory = other.mDirectory;
+        mText = text;
+    }
+
+    /**
+     * Returns the same catalogue with no limit on any route, so that slots alone bound the work.
+     */
+    public CatalogueSource withoutLimits() {
+        return new CatalogueSource(this, mText.replaceAll("(?m)^limit = .*\\R", ""));
+    }
+
     /**
      * Builds a version. Each number changes the deadline of the lookup route, so that one part
      * differs between any two numbers.
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Deployment.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Deployment.java
@@ -78,6 +78,11 @@
         return new Deployment(name, scaled, zones, regionOfZone, slots);
     }
 
+    /** Returns the home region of all services, which is the region of the first zone. */
+    public String homeRegion() {
+        return regionOfZone.get(zones.get(0));
+    }
+
     /** Returns a load kind for a service. */
     public LoadKind loadOf(int service, double ratePerSecond) {
         Service called = services.get(service);
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/measure/MeasureContext.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/measure/MeasureContext.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
 import org.foxtailmoor.standins.fleet.CatalogueSource;
 import org.foxtailmoor.standins.fleet.Deployment;
 import org.foxtailmoor.standins.fleet.Fleet;
@@ -40,13 +41,18 @@
 
     /** Starts a fleet with version 1 in force and waits until it has settled. */
     Fleet startFleet(int nodes, String behaviour) {
+        return startFleet(nodes, behaviour, UnaryOperator.identity());
+    }
+
+    /** Starts a fleet like {@link #startFleet(int, String)}, with a change to its catalogue. */
+    Fleet startFleet(int nodes, String behaviour, UnaryOperator<CatalogueSource> change) {
         Path directory = root.resolve("run/measure");
         Deployment deployment = Deployment.KITAMINE.withUpstreams(nodes);
         Fleet fleet = new Fleet(root, directory, deployment, basePort, client);
         Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
         try {
             fleet.startStandins(behaviour);
-            Path built = catalogue(fleet).build(1);
+            Path built = change.apply(catalogue(fleet)).build(1);
             fleet.publishParts(built);
             fleet.publishManifest(built);
             fleet.publishInstances();
