--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/platform/CallBudget.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/platform/CallBudget.java
@@ -13,7 +13,8 @@
  * Counts readers' calls and limits their rate.
  *
  * <p>Each call takes one token when it arrives, and each waiting watch takes one token a second
- * while it waits. Not safe for several threads.
+ * while it waits. The peak of a second counts its calls and the watches that waited at its first
+ * call. Not safe for several threads.
  */
 final class CallBudget {
     /** Share of one second's calls that may arrive at once. */
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/TargetWork.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/TargetWork.java
@@ -17,6 +17,9 @@
     private static final String SERVICE_TIME = "Standin-Service-Milliseconds";
     private static final String DEADLINE = "Foxtailmoor-Deadline-Milliseconds";
     private static final String KEY = "Idempotency-Key";
+    /** Value of a number whose header is absent. */
+    private static final String NONE = "-1";
+
     private static final Set<String> NON_IDEMPOTENT_METHODS = Set.of("POST", "PATCH");
 
     /** Faults that a request asks for by header or by query parameter, in lower case. */
@@ -44,17 +47,26 @@
     private final HttpCall mCall;
     private final String mRequestId;
     private final long mArrivedNanoseconds;
+    private final long mDeadlineMilliseconds;
+    private final long mServiceMilliseconds;
     private final CompletableFuture<HttpReply> mReply = new CompletableFuture<>();
     private ExecutionLog.Execution mExecution;
     private Future<?> mServiceTimer;
     private Future<?> mDeadlineTimer;
     private CompletableFuture<HttpAnswer> mNextCall;
 
+    /**
+     * Creates work that waits for a slot.
+     *
+     * @throws IllegalArgumentException if a header that steers the work is not valid
+     */
     TargetWork(Target target, HttpCall call) {
         mTarget = target;
         mCall = call;
         mRequestId = call.headers().get(AnswerBody.REQUEST_IDENTIFIER, "");
         mArrivedNanoseconds = target.loop().ticker().nanoTime();
+        mDeadlineMilliseconds = Long.parseLong(call.headers().get(DEADLINE, NONE));
+        mServiceMilliseconds = Long.parseLong(call.headers().get(SERVICE_TIME, NONE));
     }
 
     CompletableFuture<HttpReply> reply() {
@@ -170,19 +182,17 @@
 
     /** Returns the time left until the request's deadline, the largest number if it has none. */
     private long deadlineNanoseconds() {
-        String text = mCall.headers().get(DEADLINE);
-        if (text == null) {
+        if (mDeadlineMilliseconds < 0) {
             return Long.MAX_VALUE;
         }
         long elapsed = mTarget.loop().ticker().nanoTime() - mArrivedNanoseconds;
-        return TimeUnit.MILLISECONDS.toNanos(Long.parseLong(text)) - elapsed;
+        return TimeUnit.MILLISECONDS.toNanos(mDeadlineMilliseconds) - elapsed;
     }
 
     private long serviceNanoseconds() {
-        String text = mCall.headers().get(SERVICE_TIME);
-        if (text == null) {
+        if (mServiceMilliseconds < 0) {
             return mTarget.drawServiceNanoseconds();
         }
-        return TimeUnit.MILLISECONDS.toNanos(Long.parseLong(text));
+        return TimeUnit.MILLISECONDS.toNanos(mServiceMilliseconds);
     }
 }
--- a/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
+++ b/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
@@ -188,8 +188,63 @@
         }
     }
 
+    @Nested
+    class Chains {
+        /** Guards against chains that end early and make deep calls look cheap. */
+        @Test
+        void callTheNextServiceDownToTheDepth() {
+            int nextPort = mTargets.ports().get(1);
+            try (TargetServer first =
+                    TargetServer.start(
+                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                HttpAnswer answer =
+                        mClient.get(
+                                        first.ports().get(0),
+                                        "/x",
+                                        "Call-Next",
+                                        "/y",
+                                        "Call-Depth",
+                                        "1",
+                                        "Request-Identifier",
+                                        "r1")
+                                .join();
+                assertThat(answer.status()).isEqualTo(200);
+                JsonNode next = control("GET", "/control/targets", "").get(1);
+                assertThat(next.get("done").asInt()).isEqualTo(1);
+            }
+        }
+
+        @Test
+        void answer502IfTheNextCallFails() {
+            control("POST", "/control/targets/all/behaviour", "{\"shedding\":true}");
+            int nextPort = mTargets.ports().get(1);
+            try (TargetServer first =
+                    TargetServer.start(
+                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                HttpAnswer answer =
+                        mClient.get(
+                                        first.ports().get(0),
+                                        "/x",
+                                        "Call-Next",
+                                        "/y",
+                                        "Call-Depth",
+                                        "1")
+                                .join();
+                assertThat(answer.status()).isEqualTo(502);
+            }
+        }
+    }
+
     @Nested
     class Behaviour {
+        /** Guards against a slot that a malformed request keeps for ever. */
+        @Test
+        void malformedHeaderTakesNoSlot() {
+            String[] malformed = {"Foxtailmoor-Deadline-Milliseconds", "soon"};
+            assertThat(mClient.get(mPort, "/x", malformed).join().status()).isEqualTo(400);
+            assertThat(mClient.get(mPort, "/x").join().status()).isEqualTo(200);
+        }
+
         @Test
         void refusesNumbersOutOfRange() {
             JsonNode change = JsonRecords.parse("{\"slots\":0}".getBytes());
