Let a crashed target stand-in accept connections again

Cause: crash() closed the channel group of its connections, and a closed group closes every channel that is added later, so the port opened again but each connection ended at once and portOpensAgainAfterTheRecovery never returned. Ruled out: a failing bind (connections were accepted). The test has a time limit.

--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
@@ -100,9 +100,12 @@
                 });
     }
 
-    /** Closes every open connection, without the answers that are still to come. */
+    /**
+     * Closes every open connection, without the answers that are still to come. The group itself
+     * stays open: a closed group would close every later connection too.
+     */
     public void closeConnections() {
-        mConnections.close();
+        mConnections.forEach(Channel::close);
     }
 
     /** Makes every open connection go silent: it stays open and no byte is read or written. */
--- a/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
+++ b/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
@@ -168,6 +168,7 @@
         }
 
         @Test
+        @Timeout(20)
         void portOpensAgainAfterTheRecovery() {
             control("POST", "/control/targets/all/behaviour", "{\"recovery_milliseconds\":0}");
             control("POST", "/control/targets/all/crash", "");
@@ -195,8 +196,7 @@
         void callTheNextServiceDownToTheDepth() {
             int nextPort = mTargets.ports().get(1);
             try (TargetServer first =
-                    TargetServer.start(
-                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                    TargetServer.start("127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
                 HttpAnswer answer =
                         mClient.get(
                                         first.ports().get(0),
@@ -219,8 +219,7 @@
             control("POST", "/control/targets/all/behaviour", "{\"shedding\":true}");
             int nextPort = mTargets.ports().get(1);
             try (TargetServer first =
-                    TargetServer.start(
-                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                    TargetServer.start("127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
                 HttpAnswer answer =
                         mClient.get(
                                         first.ports().get(0),
