--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -34,6 +34,8 @@
 import org.foxtailmoor.node.NodeSettings;
 import org.foxtailmoor.node.trace.HopTracer;
 import org.foxtailmoor.protocol.generated.CrashReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Data side of a node: the caller port, the node port, the links and the target client around the
@@ -41,9 +43,18 @@
  * any thread.
  */
 public final class DataSide {
+    private static final Logger LOGGER = LoggerFactory.getLogger(DataSide.class);
     private static final long TICK_MILLISECONDS = 20;
-    private static final int TICKS_PER_LINK_TICK = 5;
-    private static final int TICKS_PER_SECOND = 50;
+
+    /**
+     * Interval of ticks without requests at the home, and of the systems that need no short one. It
+     * keeps the processor time of an idle node low.
+     */
+    private static final long SLOW_TICK_MILLISECONDS = 100;
+
+    private static final long SLOW_TICK_NANOSECONDS =
+            TimeUnit.MILLISECONDS.toNanos(SLOW_TICK_MILLISECONDS);
+    private static final int SLOW_TICKS_PER_SECOND = 10;
 
     /** Slots until the catalogue names the service of this node. */
     private static final int INITIAL_SLOTS = 1;
@@ -91,7 +102,8 @@
     private RoutingSnapshot mSnapshot;
     private List<CrashReport> mReported = List.of();
     private boolean mReady;
-    private long mTicks;
+    private long mSlowTicks;
+    private long mSlowTickNanoseconds;
 
     private DataSide(Parts parts) {
         mParts = parts;
@@ -169,9 +181,8 @@
                         mCallers.bind(mParts.loop(), address(node.callerPort())),
                         "node.caller_port",
                         node.callerPort());
-        mParts.loop()
-                .scheduleAtFixedRate(
-                        this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mSlowTickNanoseconds = mParts.ticker().nanoTime();
+        mParts.loop().execute(this::tick);
     }
 
     /** Returns the bound address of the caller port, null before the start. */
@@ -254,16 +265,33 @@
     }
 
     private void tick() {
-        mTicks++;
+        try {
+            runSystems();
+        } catch (RuntimeException e) {
+            // One faulty row must not stop the systems for all others.
+            LOGGER.error("a data tick failed", e);
+        }
+        long next = mHome.isIdle() ? SLOW_TICK_MILLISECONDS : TICK_MILLISECONDS;
+        mParts.loop().schedule(this::tick, next, TimeUnit.MILLISECONDS);
+    }
+
+    private void runSystems() {
+        long now = mParts.ticker().nanoTime();
         mHome.tick();
         mDrain.tick();
-        if (mTicks % TICKS_PER_LINK_TICK == 0) {
-            mUpstreams.tick();
-            mLinks.tick();
-            mLinkServer.tick();
-            reportCrashes();
+        if (now - mSlowTickNanoseconds >= SLOW_TICK_NANOSECONDS) {
+            mSlowTickNanoseconds = now;
+            slowTick();
         }
-        if (mTicks % TICKS_PER_SECOND == 0) {
+    }
+
+    private void slowTick() {
+        mUpstreams.tick();
+        mLinks.tick();
+        mLinkServer.tick();
+        reportCrashes();
+        mSlowTicks++;
+        if (mSlowTicks % SLOW_TICKS_PER_SECOND == 0) {
             mCallers.tick();
             mClock.adjust(mParts.timeOfDay().getAsLong());
         }
