--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -17,6 +17,7 @@
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.node.admin.AdminEndpoint;
 import org.foxtailmoor.node.admin.AdminServer;
+import org.foxtailmoor.node.admin.ExplainEndpoint;
 import org.foxtailmoor.node.admin.HealthEndpoint;
 import org.foxtailmoor.node.admin.MetricsEndpoint;
 import org.foxtailmoor.node.admin.StatusEndpoint;
@@ -193,6 +194,7 @@
                         "/health", new HealthEndpoint("healthy", () -> true),
                         "/ready", new HealthEndpoint("ready", this::isReady),
                         "/metrics", new MetricsEndpoint(mMetrics),
+                        "/explain", new ExplainEndpoint(mData::explain),
                         "/status",
                                 new StatusEndpoint(
                                         mSettings.node(), mControl, events::leavingUpstreams));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -27,9 +28,11 @@
 import org.foxtailmoor.core.routing.BudgetedRetryPolicy;
 import org.foxtailmoor.core.routing.EntryDecisions;
 import org.foxtailmoor.core.routing.EpochClock;
+import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.core.routing.TwoChoicesBalancer;
+import org.foxtailmoor.core.routing.Upstream;
 import org.foxtailmoor.core.routing.UpstreamTable;
 import org.foxtailmoor.node.NodeSettings;
 import org.foxtailmoor.node.trace.HopTracer;
@@ -210,6 +213,17 @@
         mParts.loop().execute(() -> mGuard.merge(reports));
     }
 
+    /**
+     * Explains how a request would be routed now.
+     *
+     * @param method HTTP method, not null
+     * @param path path with or without query, not null
+     * @return the explanation; fails with NO_ROUTE if no route matches
+     */
+    public CompletableFuture<Explanation> explain(String method, String path) {
+        return CompletableFuture.supplyAsync(() -> explainNow(method, path), mParts.loop());
+    }
+
     /**
      * Takes no new work for the target from now on, finishes what has begun and closes everything.
      *
@@ -231,6 +245,28 @@
         mParts.loop().execute(this::closeAll);
     }
 
+    private Explanation explainNow(String method, String path) {
+        SnapshotReference.Use<RoutingSnapshot> use = mParts.snapshots().acquire();
+        RoutingSnapshot snapshot = use.value();
+        use.release();
+        Route route = snapshot.route(method, path);
+        if (route == null) {
+            throw FoxtailmoorException.of(
+                    ErrorKind.NO_ROUTE, "no route matches " + method + " " + path);
+        }
+        List<Explanation.UpstreamState> states = new ArrayList<>();
+        for (Upstream upstream : snapshot.service(route.serviceId()).upstreams()) {
+            states.add(
+                    new Explanation.UpstreamState(
+                            upstream,
+                            mUpstreams.load(upstream.id()),
+                            mUpstreams.linkState(upstream.id()),
+                            mUpstreams.isUnreachable(upstream.id())));
+        }
+        return new Explanation(
+                route, snapshot.catalogueVersion(), snapshot.instancesVersion(), states);
+    }
+
     private void closeAll() {
         mDrain.closeNow();
         mTarget.close();
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RequestPathTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RequestPathTest.java
@@ -1,9 +1,15 @@
 package org.foxtailmoor.node.data;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.node.admin.AdminResponse;
+import org.foxtailmoor.node.admin.ExplainEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -50,4 +56,20 @@
         received.answer(201, "");
         assertThat(answer.get().statusCode()).isEqualTo(201);
     }
+
+    @Test
+    void explanationNamesTheRouteAndItsUpstreams() throws Exception {
+        AdminResponse answer = explain(Map.of("method", List.of("GET"), "path", List.of("/racks")));
+        assertThat(answer.body().get("route").asText()).isEqualTo(TestFleet.LOOKUPS);
+        assertThat(answer.body().get("upstreams").get(0).get("id").asText()).isEqualTo("lookup-1");
+        assertThatThrownBy(() -> explain(Map.of("method", List.of("GET"), "path", List.of("/x"))))
+                .hasMessageContaining("no route matches GET /x");
+        assertThatThrownBy(() -> explain(Map.of())).hasMessageContaining("one method");
+    }
+
+    private AdminResponse explain(Map<String, List<String>> parameters) throws Exception {
+        return new ExplainEndpoint(mEntry.data()::explain)
+                .answer(parameters)
+                .get(10, TimeUnit.SECONDS);
+    }
 }
