--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
@@ -15,6 +15,7 @@
     /** Length of the binary form in bytes. */
     public static final int BYTES = 16;
 
+    private static final int SEGMENT_BYTES = 65_536;
     private static final LongTupleHashFunction HASH = LongTupleHashFunction.xx128();
 
     /**
@@ -25,11 +26,30 @@
      * @param body whole body, not null
      */
     public static Fingerprint of(String method, String path, byte[] body) {
+        return of(method, path, ByteBuffer.wrap(body));
+    }
+
+    /**
+     * Returns the fingerprint of a request whose body need not be on the heap.
+     *
+     * @param method HTTP method, not null
+     * @param path path with query, not null
+     * @param body whole body from position to limit, neither of which changes; not null
+     */
+    public static Fingerprint of(String method, String path, ByteBuffer body) {
         byte[] head = (method + '\n' + path + '\n').getBytes(StandardCharsets.UTF_8);
-        long[] bodyHash = HASH.hashBytes(body);
-        ByteBuffer buffer = ByteBuffer.allocate(head.length + BYTES);
-        buffer.put(head).putLong(bodyHash[0]).putLong(bodyHash[1]);
-        long[] hash = HASH.hashBytes(buffer.array());
+        ByteBuffer rest = body.duplicate();
+        int segments = Math.max(1, (rest.remaining() + SEGMENT_BYTES - 1) / SEGMENT_BYTES);
+        ByteBuffer hashed = ByteBuffer.allocate(head.length + segments * BYTES).put(head);
+        // The hash function reads arrays only, and a copy of a long body would fill a small heap.
+        byte[] segment = new byte[Math.min(SEGMENT_BYTES, rest.remaining())];
+        for (int i = 0; i < segments; i++) {
+            int length = Math.min(SEGMENT_BYTES, rest.remaining());
+            rest.get(segment, 0, length);
+            long[] hash = HASH.hashBytes(segment, 0, length);
+            hashed.putLong(hash[0]).putLong(hash[1]);
+        }
+        long[] hash = HASH.hashBytes(hashed.array());
         return new Fingerprint(hash[0], hash[1]);
     }
 
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/FingerprintTest.java
@@ -0,0 +1,34 @@
+package org.foxtailmoor.core.home;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class FingerprintTest {
+    private static final byte[] BODY = "maps".repeat(40_000).getBytes(StandardCharsets.UTF_8);
+
+    /** Guards against different counts for one request that is held in different memory. */
+    @Test
+    void bodyOffTheHeapHasTheSameFingerprint() {
+        ByteBuffer direct = ByteBuffer.allocateDirect(BODY.length + 2);
+        direct.position(1).put(BODY).position(1).limit(BODY.length + 1);
+        assertThat(Fingerprint.of("POST", "/orders", direct.slice()))
+                .isEqualTo(Fingerprint.of("POST", "/orders", BODY));
+        assertThat(Fingerprint.of("POST", "/orders", direct))
+                .isEqualTo(Fingerprint.of("POST", "/orders", BODY));
+    }
+
+    @Test
+    void everyPartCounts() {
+        Fingerprint fingerprint = Fingerprint.of("POST", "/orders", BODY);
+        assertThat(Fingerprint.of("PUT", "/orders", BODY)).isNotEqualTo(fingerprint);
+        assertThat(Fingerprint.of("POST", "/orders?a", BODY)).isNotEqualTo(fingerprint);
+        byte[] otherEnd = BODY.clone();
+        otherEnd[BODY.length - 1]++;
+        assertThat(Fingerprint.of("POST", "/orders", otherEnd)).isNotEqualTo(fingerprint);
+        assertThat(Fingerprint.of("POST", "/orders", new byte[0])).isNotEqualTo(fingerprint);
+        assertThat(Fingerprint.of(fingerprint.toBytes())).isEqualTo(fingerprint);
+    }
+}
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/BodySender.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/BodySender.java
@@ -1,8 +1,10 @@
 package org.foxtailmoor.node.data;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.util.ArrayDeque;
 import java.util.Iterator;
+import java.util.function.Consumer;
 import org.foxtailmoor.protocol.generated.RequestMessage;
 
 /**
@@ -10,7 +12,8 @@
  * streams so that one long body does not hold up the others.
  */
 final class BodySender {
-    private record Pending(long stream, HeldBody body, int offset, Runnable onSent) {}
+    private record Pending(
+            long stream, HeldBody body, int offset, Consumer<ChannelFuture> onSent) {}
 
     private final Channel mChannel;
     private final ArrayDeque<Pending> mQueue = new ArrayDeque<>();
@@ -24,9 +27,10 @@
      *
      * @param start frame that announces the body
      * @param body body; owned by this object from now on
-     * @param onSent called when the last chunk is handed to the channel
+     * @param onSent called when the last chunk is handed to the channel, with the future of its
+     *     write
      */
-    void send(RequestMessage start, HeldBody body, Runnable onSent) {
+    void send(RequestMessage start, HeldBody body, Consumer<ChannelFuture> onSent) {
         mChannel.write(start);
         mQueue.addLast(new Pending(start.getStream(), body, 0, onSent));
         pump();
@@ -61,10 +65,10 @@
 
     private void sendChunk(Pending pending) {
         RequestMessage chunk = Frames.chunk(pending.stream(), pending.body(), pending.offset());
-        mChannel.write(chunk);
+        ChannelFuture written = mChannel.write(chunk);
         if (chunk.getBodyChunk().getLast()) {
             pending.body().release();
-            pending.onSent().run();
+            pending.onSent().accept(written);
             return;
         }
         int offset = pending.offset() + Frames.CHUNK_BYTES;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -44,9 +44,6 @@
     /** A refused body up to this size is read, so that the connection can be used further. */
     private static final int MAXIMUM_SKIPPED_BYTES = 65_536;
 
-    /** Messages of later requests that are held before reading pauses. */
-    private static final int MAXIMUM_PENDING = 64;
-
     private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
     private static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(75);
 
@@ -129,9 +126,8 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (mState == State.RUNNING || !mPending.isEmpty()) {
             mPending.addLast(ReferenceCountUtil.retain(message));
-            if (mPending.size() >= MAXIMUM_PENDING) {
-                mChannel.config().setAutoRead(false);
-            }
+            // Later requests do not count against the body memory, so that no more of them is read.
+            mChannel.config().setAutoRead(false);
             return;
         }
         process(message);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
@@ -22,8 +22,11 @@
      */
     static final long NOTICE_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
 
-    /** Time that other nodes have to close their links to this node when nothing is open. */
-    private static final long LINK_CLOSE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    /**
+     * Time that other nodes have to close their links to this node when nothing is open. They do so
+     * as soon as they have the last answer, which can take seconds over a link between regions.
+     */
+    private static final long LINK_CLOSE_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
     private enum Step {
         SERVING,
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -167,6 +167,9 @@
         if (mSnapshot == null || mRequests == null) {
             return mLeaving ? ErrorKind.LEAVING : ErrorKind.NOT_READY;
         }
+        if (start.getMethod().isEmpty() || !start.getPath().startsWith("/")) {
+            return ErrorKind.BAD_REQUEST;
+        }
         if (!start.getServiceId().equals(mServiceId)) {
             // The entry's instance list has another instance at this address.
             return ErrorKind.NO_UPSTREAM;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -47,7 +47,9 @@
         mStartedNanoseconds = home.ticker().nanoTime();
         mFingerprint =
                 Fingerprint.of(
-                        call.start().getMethod(), call.start().getPath(), bytesOf(call.body()));
+                        call.start().getMethod(),
+                        call.start().getPath(),
+                        call.body().content().nioBuffer());
     }
 
     @Override
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -141,7 +141,7 @@
         long number = ++mLastStream;
         Stream stream = new Stream(listener);
         mStreams.put(number, stream);
-        mSender.send(Frames.requestStart(number, start), body, () -> stream.mSent = true);
+        mSender.send(Frames.requestStart(number, start), body, written -> stream.mSent = true);
         return () -> cancel(number);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -76,7 +76,7 @@
         mChannel.writeAndFlush(Frames.goingAway());
     }
 
-    /** Returns whether no request is open and every answer has been handed to the channel. */
+    /** Returns whether no request is open and every answer has been written. */
     boolean isIdle() {
         return mStreams.isEmpty();
     }
@@ -185,7 +185,8 @@
             mSender.send(
                     Frames.responseStart(number, answer, mHome.load()),
                     answer.body(),
-                    () -> mStreams.remove(number));
+                    // The link is idle only when the system has taken the whole answer.
+                    written -> written.addListener(future -> mStreams.remove(number)));
             return;
         }
         mStreams.remove(number);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -43,6 +44,7 @@
     private final Pool mPool;
     private TargetRequest mRequest;
     private TargetListener mListener;
+    private ChannelFuture mWritten;
     private HttpResponse mResponse;
     private List<Header> mHeaders;
     private BodyCollector mBody;
@@ -78,7 +80,7 @@
         mListener = listener;
         mResponse = null;
         mInterim = false;
-        mChannel.writeAndFlush(encode(request));
+        mWritten = mChannel.writeAndFlush(encode(request));
     }
 
     /** Returns whether the target has answered the request in flight with any byte of a head. */
@@ -193,7 +195,8 @@
         TargetListener listener = mListener;
         int status = mResponse.status().code();
         Outcome.Answer answer = new Outcome.Answer(status, mHeaders, mBody.finish(), false);
-        boolean keepAlive = HttpUtil.isKeepAlive(mResponse);
+        // An answer that came before the whole request leaves the connection in an unknown state.
+        boolean keepAlive = HttpUtil.isKeepAlive(mResponse) && mWritten.isSuccess();
         mBody = null;
         mListener = null;
         mRequest = null;
