Serve connections that wait to be accepted when a port stops

A planned stop under load reset 4 of the connections that the system had established but the node had not accepted. The port now accepts them before it closes, and connections in recent use are left to end with their next answer.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -46,6 +46,7 @@
 
     private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
     private static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(75);
+    private static final long UNUSED_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     private final CallerServer mServer;
     private final EntryGateway mEntry;
@@ -76,15 +77,14 @@
 
     /** Closes the connection if it has not completed a request for a long time. */
     void tick() {
-        long idle = mEntry.parts().ticker().nanoTime() - mIdleSinceNanoseconds;
-        if (idle < IDLE_NANOSECONDS || mState == State.RUNNING) {
+        if (idleNanoseconds() < IDLE_NANOSECONDS || mState == State.RUNNING) {
             return;
         }
         if (mWriting > 0) {
             // The caller does not read its answer.
             mChannel.close();
         } else {
-            closeIfIdle();
+            closeIfUnused();
         }
     }
 
@@ -93,9 +93,12 @@
         mChannel.close();
     }
 
-    /** Ends the connection if it is idle, so that the caller sees an orderly end. */
-    void closeIfIdle() {
-        if (isIdle()) {
+    /**
+     * Ends the connection if it has been without a request for a second. A connection in recent use
+     * may have a request on its way, whose answer will end the connection.
+     */
+    void closeIfUnused() {
+        if (isIdle() && idleNanoseconds() >= UNUSED_NANOSECONDS) {
             shutdownOutput();
         }
     }
@@ -311,6 +314,10 @@
         mCall = null;
     }
 
+    private long idleNanoseconds() {
+        return mEntry.parts().ticker().nanoTime() - mIdleSinceNanoseconds;
+    }
+
     private static Outcome.Failure failure(ErrorKind kind) {
         return Outcome.Failure.of(kind, ErrorMessages.of(kind));
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
@@ -1,13 +1,8 @@
 package org.foxtailmoor.node.data;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -21,12 +16,11 @@
     private static final int MAXIMUM_INITIAL_LINE_BYTES = 8_192;
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
     private static final int MAXIMUM_CHUNK_BYTES = 65_536;
-    private static final int BACKLOG = 1_024;
 
     private final EntryGateway mEntry;
     private final BodyMemory mMemory;
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
-    private Channel mChannel;
+    private final ListeningPort mPort = new ListeningPort(this::accept);
     private boolean mLeaving;
 
     CallerServer(EntryGateway entry, BodyMemory memory) {
@@ -36,22 +30,7 @@
 
     /** Starts listening; the future's channel has the bound address. */
     ChannelFuture bind(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        accept(channel);
-                                    }
-                                })
-                        .bind(address);
-        mChannel = bound.channel();
-        return bound;
+        return mPort.bind(group, address);
     }
 
     /** Ends every connection after the answer to its open request from now on. */
@@ -63,13 +42,14 @@
         return mLeaving;
     }
 
-    /** Stops listening and ends the connections without a request. */
+    /**
+     * Stops listening and ends the connections that have been without a request for a time. To be
+     * called again until no connection is open.
+     */
     void stop() {
         mLeaving = true;
-        if (mChannel != null) {
-            mChannel.close();
-        }
-        new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
+        mPort.stop();
+        new ArrayList<>(mConnections).forEach(CallerConnection::closeIfUnused);
     }
 
     /** Closes every connection at once. */
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -1,13 +1,8 @@
 package org.foxtailmoor.node.data;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -25,7 +20,7 @@
     private final BodyMemory mMemory;
     private final Ticker mTicker;
     private final Set<LinkServerHandler> mLinks = new LinkedHashSet<>();
-    private Channel mChannel;
+    private final ListeningPort mPort = new ListeningPort(this::accept);
 
     LinkServer(String instanceId, long incarnation, Home home, BodyMemory memory, Ticker ticker) {
         mInstanceId = instanceId;
@@ -37,21 +32,7 @@
 
     /** Starts listening; the future's channel has the bound address. */
     ChannelFuture bind(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        accept(channel);
-                                    }
-                                })
-                        .bind(address);
-        mChannel = bound.channel();
-        return bound;
+        return mPort.bind(group, address);
     }
 
     String instanceId() {
@@ -89,9 +70,7 @@
 
     /** Stops listening. */
     void close() {
-        if (mChannel != null) {
-            mChannel.close();
-        }
+        mPort.stop();
     }
 
     void onOpened(LinkServerHandler link) {
