--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -44,11 +44,9 @@
     /** A refused body up to this size is read, so that the connection can be used further. */
     private static final int MAXIMUM_SKIPPED_BYTES = 65_536;
 
-    /** Messages of later requests that are held before reading pauses. */
-    private static final int MAXIMUM_PENDING = 64;
-
     private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
     private static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(75);
+    private static final long UNUSED_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     private final CallerServer mServer;
     private final EntryGateway mEntry;
@@ -79,15 +77,14 @@
 
     /** Closes the connection if it has not completed a request for a long time. */
     void tick() {
-        long idle = mEntry.parts().ticker().nanoTime() - mIdleSinceNanoseconds;
-        if (idle < IDLE_NANOSECONDS || mState == State.RUNNING) {
+        if (idleNanoseconds() < IDLE_NANOSECONDS || mState == State.RUNNING) {
             return;
         }
         if (mWriting > 0) {
             // The caller does not read its answer.
             mChannel.close();
         } else {
-            closeIfIdle();
+            closeIfUnused();
         }
     }
 
@@ -96,9 +93,12 @@
         mChannel.close();
     }
 
-    /** Ends the connection if it is idle, so that the caller sees an orderly end. */
-    void closeIfIdle() {
-        if (isIdle()) {
+    /**
+     * Ends the connection if it has been without a request for a second. A connection in recent use
+     * may have a request on its way, whose answer will end the connection.
+     */
+    void closeIfUnused() {
+        if (isIdle() && idleNanoseconds() >= UNUSED_NANOSECONDS) {
             shutdownOutput();
         }
     }
@@ -129,9 +129,8 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (mState == State.RUNNING || !mPending.isEmpty()) {
             mPending.addLast(ReferenceCountUtil.retain(message));
-            if (mPending.size() >= MAXIMUM_PENDING) {
-                mChannel.config().setAutoRead(false);
-            }
+            // Later requests do not count against the body memory, so that no more of them is read.
+            mChannel.config().setAutoRead(false);
             return;
         }
         process(message);
@@ -315,6 +314,10 @@
         mCall = null;
     }
 
+    private long idleNanoseconds() {
+        return mEntry.parts().ticker().nanoTime() - mIdleSinceNanoseconds;
+    }
+
     private static Outcome.Failure failure(ErrorKind kind) {
         return Outcome.Failure.of(kind, ErrorMessages.of(kind));
     }
