--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionState.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/DistributionState.java
@@ -23,7 +23,7 @@
     private final PeerTable mPeers;
     private final Set<String> mSeeds = new LinkedHashSet<>();
     private final Map<String, String> mSeedInstances = new LinkedHashMap<>();
-    private Topology mTopology = Topology.EMPTY;
+    private Topology mTopology = Topology.empty();
     private CatalogueFacts mFacts = CatalogueFacts.NONE;
     private boolean mReady;
     private boolean mLeaving;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/Topology.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/Topology.java
@@ -20,8 +20,6 @@
  * the same list derives the same orders. Orders are computed when first asked for.
  */
 final class Topology {
-    static final Topology EMPTY = new Topology(Fleet.EMPTY);
-
     private static final String READER_KEY = "reader";
     private static final String GATEWAY_KEY_PREFIX = "region/";
     private static final int GATEWAYS_PER_REGION = 2;
@@ -57,6 +55,14 @@
         return new Topology(Fleet.of(instances));
     }
 
+    /**
+     * Returns the orders of an empty fleet. Each node needs its own, because the orders are
+     * computed when first asked for and belong to one control loop.
+     */
+    static Topology empty() {
+        return new Topology(Fleet.EMPTY);
+    }
+
     Fleet fleet() {
         return mFleet;
     }
