--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
@@ -7,7 +7,7 @@
 
 /** The program {@code foxtailmoor-node}: runs one node until it is told to stop. */
 public final class NodeMain extends Program {
-    private static final String LOG_LEVEL_PROPERTY = "foxtailmoor.log.level";
+    private static final String LOG_LEVEL_PROPERTY = JsonLogConfigurator.LEVEL_PROPERTY;
 
     @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings in TOML")
     private Path mSettings;
@@ -25,7 +25,7 @@
     @Override
     protected int run() {
         NodeSettings settings = NodeSettings.of(mSettings);
-        // Read by logback.xml, so that it must be set before the first logger is created.
+        // Read by JsonLogConfigurator, so that it must be set before the first logger is created.
         System.setProperty(LOG_LEVEL_PROPERTY, settings.log().level().toUpperCase(Locale.ROOT));
         Node node = Node.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
