--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/AtMostOnceTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/AtMostOnceTest.java
@@ -60,6 +60,7 @@
         private final TreeMap<Long, List<Runnable>> mEvents = new TreeMap<>();
         private final List<RoutingSnapshot> mViews = new ArrayList<>();
         private long mNow = 1_000_000;
+        private String mLastChanged = "e";
 
         private Schedule(long seed) {
             mRandom = new Random(seed);
@@ -73,9 +74,9 @@
                 mTargets.put(id, new ArrayList<>());
                 every(300 + mRandom.nextInt(700), () -> exchange(mHomes.get(id)));
             }
-            every(5_000, this::changeMembers);
-            every(3_000, this::disturb);
-            every(100, this::newKey);
+            every(3_000 + mRandom.nextInt(9_000), this::changeMembers);
+            every(2_000 + mRandom.nextInt(8_000), this::disturb);
+            every(60, this::newKey);
             long end = mNow + DURATION_MILLISECONDS;
             while (mNow < end) {
                 step();
@@ -129,7 +130,9 @@
         }
 
         private void changeMembers() {
-            String id = POOL[mRandom.nextInt(POOL.length)];
+            boolean back = mRandom.nextBoolean();
+            String id = back ? mLastChanged : POOL[mRandom.nextInt(POOL.length)];
+            mLastChanged = id;
             if (mMembers.contains(id) && mMembers.size() > 5) {
                 mMembers.remove(id);
             } else {
@@ -150,7 +153,7 @@
 
         private void disturb() {
             FakeHome home = mHomes.get(POOL[mRandom.nextInt(POOL.length)]);
-            long until = mNow + 500 + mRandom.nextInt(9_000);
+            long until = mNow + 500 + mRandom.nextInt(20_000);
             switch (mRandom.nextInt(4)) {
                 case 0 -> {
                     home.mPaused = true;
@@ -163,7 +166,10 @@
                     }
                     at(until, () -> mHomes.values().forEach(cut -> cut.mSide = 0));
                 }
-                default -> home.mSide = 2;
+                default -> {
+                    home.mSide = 2;
+                    at(until, () -> home.mSide = 0);
+                }
             }
         }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/FakeHome.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/FakeHome.java
@@ -99,6 +99,7 @@
         private final IdempotencyKey mKey;
         private final long mDeadline;
         private final boolean mLost;
+        private final boolean mFails;
         private final long mServiceNanoseconds;
         private final List<Runnable> mTarget;
         long mEndsNanoseconds;
@@ -110,6 +111,7 @@
             mDeadline = mTicker.nanoTime() + TimeUnit.SECONDS.toNanos(8);
             mServiceNanoseconds = TimeUnit.MILLISECONDS.toNanos(serviceMs);
             mLost = lost;
+            mFails = serviceMs % 20 == 0;
             mTarget = target;
         }
 
@@ -146,6 +148,10 @@
                 mTarget.add(() -> end(body));
                 return;
             }
+            if (mFails) {
+                mInbox.add(() -> mRequests.failed(this, ErrorKind.UPSTREAM_FAILED));
+                return;
+            }
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
             StoredAnswer answer = new StoredAnswer(200, new ArrayList<>(), bytes);
             mInbox.add(
