--- /dev/null
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/requests/RouteSteps.java
@@ -0,0 +1,96 @@
+package org.foxtailmoor.scenarios.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.routing.BudgetedRetryPolicy;
+import org.foxtailmoor.core.routing.Decision;
+import org.foxtailmoor.core.routing.EntryDecisions;
+import org.foxtailmoor.core.routing.EntryRequest;
+import org.foxtailmoor.core.routing.EpochClock;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.core.routing.SnapshotReference;
+import org.foxtailmoor.core.routing.TwoChoicesBalancer;
+import org.foxtailmoor.core.routing.UpstreamTable;
+
+/** Steps about routes and the snapshots that requests use. */
+public final class RouteSteps {
+    private final Ticker mTicker = Ticker.newMockTicker();
+    private final UpstreamTable mTable = UpstreamTable.of(mTicker);
+    private final EntryDecisions mDecisions =
+            EntryDecisions.of(
+                    EpochClock.of(mTicker, 0),
+                    mTable,
+                    TwoChoicesBalancer.of(mTable, new Random(1), "doo", "sapporo-a"),
+                    BudgetedRetryPolicy.of(mTicker, new Random(1)));
+    private final List<RoutingSnapshot> mDropped = new ArrayList<>();
+    private final SmallCatalogue mCatalogue = new SmallCatalogue();
+    private SnapshotReference<RoutingSnapshot> mReference;
+    private SnapshotReference.Use<RoutingSnapshot> mUse;
+    private EntryRequest mRequest;
+
+    @Given("a node with the catalogue version {long} and the services {string}")
+    public void node(long version, String service) {
+        mCatalogue.service(service, 1);
+        mReference = SnapshotReference.of(mCatalogue.build(version), mDropped::add);
+    }
+
+    @Given("a route {string} to {string}")
+    public void route(String prefix, String service) {
+        mCatalogue.route(prefix, service);
+        long version = mReference.acquire().value().catalogueVersion().getNumber();
+        mReference = SnapshotReference.of(mCatalogue.build(version), mDropped::add);
+    }
+
+    @When("a request begins")
+    public void requestBegins() {
+        mUse = mReference.acquire();
+        mRequest = begin(mUse.value(), "/x").value();
+    }
+
+    @When("the catalogue version {long} without services comes into force")
+    public void newVersion(long version) {
+        assertThat(mReference.publish(new SmallCatalogue().build(version))).isTrue();
+    }
+
+    @Then("the catalogue version {long} without services does not come into force")
+    public void oldVersion(long version) {
+        assertThat(mReference.publish(new SmallCatalogue().build(version))).isFalse();
+    }
+
+    @Then("the request still reaches {string}")
+    public void requestReaches(String service) {
+        assertThat(mDecisions.choose(mRequest).value().serviceId()).isEqualTo(service);
+    }
+
+    @Then("version {long} is dropped when the request ends")
+    public void versionIsDropped(long version) {
+        assertThat(mDropped).isEmpty();
+        mUse.release();
+        assertThat(mDropped).hasSize(1);
+        assertThat(mDropped.get(0).catalogueVersion().getNumber()).isEqualTo(version);
+    }
+
+    @Then("a request for {string} goes to {string}")
+    public void requestGoesTo(String path, String service) {
+        EntryRequest request = begin(mReference.acquire().value(), path).value();
+        assertThat(mDecisions.choose(request).value().serviceId()).isEqualTo(service);
+    }
+
+    @Then("a request for {string} is refused as {string}")
+    public void requestIsRefused(String path, String kind) {
+        assertThat(begin(mReference.acquire().value(), path).refusal())
+                .isEqualTo(ErrorKind.of(kind));
+    }
+
+    private Decision<EntryRequest> begin(RoutingSnapshot snapshot, String path) {
+        return mDecisions.begin(snapshot, "POST", path, null, 0, 0);
+    }
+}
