Run the upstream systems at most every 100 ms

A run over 2,900 upstreams in 190 services takes 65 to 77 microseconds, so each tick of 20 ms would use 0.4% of a core; now it is below 0.1%.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
@@ -13,12 +13,19 @@
  * Belongs to the data loop. Reports about an unknown id are ignored.
  */
 public final class UpstreamTable {
+    /**
+     * Least time between two runs of the systems. Loads decay over seconds, and a run over 2,900
+     * upstreams takes about 80 microseconds, which is too much for each tick of 20 ms.
+     */
+    private static final long RUN_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final Ticker mTicker;
     private final List<UpstreamSystem> mSystems =
             List.of(new LoadDecaySystem(), new SlowStartSystem(), new AvoidanceSystem());
     private Map<String, UpstreamRow> mRows = new HashMap<>();
     private Map<String, ServiceRows> mServices = new HashMap<>();
     private RoutingSnapshot mSnapshot;
+    private long mRunNanoseconds;
 
     private UpstreamTable(Ticker ticker) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
@@ -62,15 +69,26 @@
         }
         mRows = rows;
         mServices = services;
-        tick();
+        runSystems(now);
     }
 
-    /** Runs the systems over all rows: load decay, slow start and the end of avoidance. */
+    /**
+     * Runs the systems over all rows, at most every 100 ms: load decay, slow start and the end of
+     * avoidance.
+     */
     public void tick() {
         long now = mTicker.nanoTime();
+        if (now - mRunNanoseconds >= RUN_INTERVAL_NANOSECONDS) {
+            runSystems(now);
+        }
+    }
+
+    /** Runs the systems over all rows at a ticker time. */
+    void runSystems(long nowNanoseconds) {
+        mRunNanoseconds = nowNanoseconds;
         for (ServiceRows service : mServices.values()) {
             for (UpstreamSystem system : mSystems) {
-                system.run(service, now);
+                system.run(service, nowNanoseconds);
             }
         }
     }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingCost.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingCost.java
@@ -55,14 +55,15 @@
             RoutingCost cost = new RoutingCost(size[0], size[1]);
             System.out.printf(
                     "upstreams %5d services %3d: decision %6.0f ns, keyed %6.0f ns,"
-                            + " tick %8.0f ns, snapshot and table %10.0f ns (%d)%n",
+                            + " run of systems %8.0f ns, snapshot and table %10.0f ns (%d)%n",
                     size[0],
                     size[1],
                     cost.measure(200_000, i -> cost.decide(i, null)),
                     cost.measure(
                             Math.max(500, 2_000_000 / (1 + size[0] / size[1])),
                             i -> cost.decide(i, "00000000-0000-7000-8000-000000000000")),
-                    cost.measure(2_000_000 / size[0], i -> cost.mTable.tick()),
+                    cost.measure(
+                            2_000_000 / size[0], i -> cost.mTable.runSystems(System.nanoTime())),
                     cost.measure(200_000 / size[0], cost::rebuild),
                     cost.mSink % 10);
         }
