Split limits of routes with keys over the home region only

Requests of a route that requires keys reach only the home region. With two regions the split over all upstreams admitted half of the limit.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -13,6 +13,7 @@
 import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.admission.FleetLimits;
 import org.foxtailmoor.core.routing.IdempotencyKey;
+import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.ServiceView;
 
@@ -88,8 +89,7 @@
             request.refuse(obstacle, 0);
             return;
         }
-        int live = mService == null ? 1 : mService.liveCount();
-        int retryAfter = mLimits.tryAcquire(request.route(), live);
+        int retryAfter = mLimits.tryAcquire(request.route(), sharers(request.route()));
         if (retryAfter != FleetLimits.ADMITTED) {
             request.refuse(ErrorKind.RATE_LIMITED, retryAfter);
             return;
@@ -276,6 +276,19 @@
         }
     }
 
+    /**
+     * Returns the number of homes that share the limit of a route. Requests of a route that
+     * requires keys reach only the home region, so that a split over all regions would admit less
+     * than the limit.
+     */
+    private int sharers(Route route) {
+        if (mService == null) {
+            return 1;
+        }
+        boolean keyed = route.entry().getRequireKey();
+        return keyed ? mService.homeMembers().size() : mService.liveCount();
+    }
+
     private ErrorKind obstacle(HomeRequest request) {
         if (mLeaving) {
             return ErrorKind.LEAVING;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
@@ -31,7 +31,10 @@
                     .service("s", (int) SLOTS)
                     .route("order", "s", "POST", "/", false)
                     .route("read", "s", "GET", "/", true)
+                    .route("keyed", "s", "PUT", "/", e -> e.setRequireKey(true).setLimitId("l"))
+                    .route("limited", "s", "*", "/", e -> e.setLimitId("l"))
                     .upstreams("s", "doo", "sapporo-a", "me")
+                    .upstreams("s", "dohoku", "nayoro-a", "far")
                     .build(1, 1);
     private final CrashGuard mGuard = CrashGuard.of(mTicker, "s", "me");
     private final List<Call> mDispatched = new ArrayList<>();
@@ -254,4 +257,15 @@
         assertThat(call.mRefusal).isEqualTo(ErrorKind.NO_UPSTREAM);
         assertThat(accept("order", call.key(), 1).isDispatched()).isTrue();
     }
+
+    /** Guards against a limit of keyed requests that is lowered by homes they never reach. */
+    @Test
+    void limitOfARouteWithKeysIsSplitOverTheHomeRegionOnly() {
+        for (int i = 0; i < 10; i++) {
+            assertThat(accept("keyed", key("k" + i), i).mRefusal).isNull();
+            assertThat(accept("limited", null, i).mRefusal)
+                    .isEqualTo(i < 5 ? null : ErrorKind.RATE_LIMITED);
+        }
+        assertThat(accept("keyed", key("k10"), 10).mRefusal).isEqualTo(ErrorKind.RATE_LIMITED);
+    }
 }
