Tell random nodes of the zone, and random nodes of other regions, of a new version

Nodes whose parents in both trees are dead waited for an exchange, and regions whose roots are dead for the gateways.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/PushSystem.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/distribution/PushSystem.java
@@ -15,6 +15,9 @@
     // readers 0 to 5 less than 1.
     private static final int LAST_CROSSING_READER = 5;
 
+    // Notices to random nodes of the zone, for nodes whose parents in both trees are dead.
+    private static final int RANDOM_NOTICES = 2;
+
     private final EngineContext mContext;
     private final DistributionState mState;
     private final AdvertWriter mAdverts;
@@ -93,11 +96,16 @@
         if (mState.isReader() || fromSource || self.equals(topology.rootOf(Tree.A, firstZone))) {
             addZoneRoots(region, targets.mUpdates, targets.mAdverts);
         }
-        if (self.equals(topology.rootOf(Tree.B, firstZone)) || !mState.isInOwnRegion(from)) {
-            // The region root may be dead, as this node got the version on another way.
+        if (self.equals(topology.rootOf(Tree.B, firstZone))) {
             addZoneRoots(region, targets.mAdverts, targets.mAdverts);
+        } else if (!mState.isInOwnRegion(from)
+                && !self.equals(topology.rootOf(Tree.A, firstZone))) {
+            addZones(region, targets.mAdverts);
         }
         addOtherRegions(targets, fromSource);
+        for (int count = 0; count < RANDOM_NOTICES; count++) {
+            addRandom(topology.fleet().idsOfZone(mContext.self().getZone()), targets.mAdverts);
+        }
         return targets;
     }
 
@@ -109,10 +117,23 @@
         }
     }
 
+    /**
+     * Adds the roots of the zones of a region and their children. It is for a node that got the
+     * version from another region although it is no root of its region: the roots may be dead.
+     */
+    private void addZones(String region, Set<String> nodes) {
+        addZoneRoots(region, nodes, nodes);
+        Topology topology = mState.topology();
+        for (String zone : topology.fleet().zonesOf(region)) {
+            String root = topology.rootOf(Tree.A, zone);
+            nodes.addAll(topology.childrenOf(Tree.A, zone, root, mContext.settings().fanOut()));
+        }
+    }
+
     /**
      * Adds the entry points of the other regions. The first reader sends the content, so that it
-     * crosses to each region once. The next readers send notices to different zones, so that a
-     * region is reached although some of these nodes are dead.
+     * crosses to each region once. The next readers send notices to different zones and to random
+     * nodes, so that a region is reached although its roots are dead.
      */
     private void addOtherRegions(Targets targets, boolean fromSource) {
         int index = mState.readerIndex();
@@ -129,14 +150,23 @@
             String regionRoot = topology.rootOf(Tree.A, zones.get(0));
             if (index == 0) {
                 targets.mUpdates.add(regionRoot);
+            } else if (index == 1 || takeover) {
+                targets.mAdverts.add(regionRoot);
+                targets.mAdverts.add(topology.rootOf(Tree.B, zones.get(0)));
             } else {
-                String zone = zones.get(takeover ? 0 : (index - 1) % zones.size());
-                targets.mAdverts.add(topology.rootOf(Tree.A, zone));
+                String zone = zones.get((index - 1) % zones.size());
                 targets.mAdverts.add(topology.rootOf(Tree.B, zone));
+                addRandom(topology.fleet().idsOfRegion(region), targets.mAdverts);
             }
         }
     }
 
+    private void addRandom(List<String> ids, Set<String> nodes) {
+        if (!ids.isEmpty()) {
+            nodes.add(ids.get(mContext.random().nextInt(ids.size())));
+        }
+    }
+
     private List<String> childrenOf(Tree tree) {
         Instance self = mContext.self();
         return mState.topology()
