--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/distribution/ConvergenceTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/distribution/ConvergenceTest.java
@@ -6,7 +6,11 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class ConvergenceTest {
-    /** Guards against a change that misses the 6 s, with 17 zones of 20 nodes in simulation. */
+    /**
+     * Guards against a change that misses the 6 s, with 17 zones of 20 nodes in simulation. With
+     * three tenths dead but listed, a few other seeds take up to 7.5 s: all entry points of a
+     * region died.
+     */
     @ParameterizedTest
     @CsvSource({"0, 0.1, 0.1", "1, 2.4, 4", "3, 5, 6"})
     void changeIsInForceWithinTheBounds(int deadTenths, double p99, double longest) {
--- a/foxtailmoor-scenarios/src/test/resources/features/versions_are_distributed.feature
+++ b/foxtailmoor-scenarios/src/test/resources/features/versions_are_distributed.feature
@@ -31,3 +31,4 @@
     And the source publishes catalogue 5
     And 30 seconds pass
     Then every node has catalogue 6 within 0 seconds
+    And no node ever had an older catalogue after a newer one
