--- a/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
+++ b/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
@@ -168,6 +168,7 @@
         }
 
         @Test
+        @Timeout(20)
         void portOpensAgainAfterTheRecovery() {
             control("POST", "/control/targets/all/behaviour", "{\"recovery_milliseconds\":0}");
             control("POST", "/control/targets/all/crash", "");
