--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ControlPlane.java
@@ -40,6 +40,7 @@
     private final SourceCalls mSource;
     private final ControlListener mListener;
     private final ControlServer mServer;
+    private final ControlGauges mGauges;
     private boolean mReadyReported;
     private volatile boolean mReady;
 
@@ -48,6 +49,7 @@
         mLoop = builder.mLoop;
         mListener = builder.mListener;
         mTraffic = new ControlTraffic(builder.mMetrics);
+        mGauges = new ControlGauges(builder.mMetrics);
         PeerAddresses addresses = new PeerAddresses();
         mConnections =
                 new PeerConnections(
@@ -184,6 +186,7 @@
         mConnections.closeSilent();
         mEngine.onTick();
         mSource.onTick();
+        mGauges.onTick(mEngine);
         mListener.onViewLease(mEngine.viewLease());
         mReady = mEngine.isReady();
         if (mReady && !mReadyReported) {
