--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/TargetWork.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/TargetWork.java
@@ -17,6 +17,7 @@
     private static final String SERVICE_TIME = "Standin-Service-Milliseconds";
     private static final String DEADLINE = "Foxtailmoor-Deadline-Milliseconds";
     private static final String KEY = "Idempotency-Key";
+
     /** Value of a number whose header is absent. */
     private static final String NONE = "-1";
 
--- a/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
+++ b/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/target/TargetServerTest.java
@@ -195,8 +195,7 @@
         void callTheNextServiceDownToTheDepth() {
             int nextPort = mTargets.ports().get(1);
             try (TargetServer first =
-                    TargetServer.start(
-                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                    TargetServer.start("127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
                 HttpAnswer answer =
                         mClient.get(
                                         first.ports().get(0),
@@ -219,8 +218,7 @@
             control("POST", "/control/targets/all/behaviour", "{\"shedding\":true}");
             int nextPort = mTargets.ports().get(1);
             try (TargetServer first =
-                    TargetServer.start(
-                            "127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
+                    TargetServer.start("127.0.0.1", List.of(0), 0, BEHAVIOUR, List.of(nextPort))) {
                 HttpAnswer answer =
                         mClient.get(
                                         first.ports().get(0),
