Accept connections again after a target's crash

The group of a server's connections was created to stay closed once closed, so that every connection after a crash was closed at once and portOpensAgainAfterTheRecovery never ended. Failed connects now leave the count of open connections at once.

--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpCaller.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpCaller.java
@@ -115,12 +115,13 @@
         }
         ChannelFuture connected = mBootstrap.connect(call.address());
         Channel channel = connected.channel();
-        channel.closeFuture().addListener(closed -> pool.open().decrementAndGet());
         connected.addListener(
                 done -> {
                     if (done.isSuccess()) {
+                        channel.closeFuture().addListener(closed -> pool.open().decrementAndGet());
                         HttpCallerHandler.send(channel, new Exchange(call, answer, null));
                     } else {
+                        pool.open().decrementAndGet();
                         answer.completeExceptionally(
                                 new CallFailure(
                                         CallFailure.Reason.NOT_CONNECTED, call, done.cause()));
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
@@ -27,8 +27,7 @@
     private static final int LISTEN_RETRY_MILLISECONDS = 10;
 
     private final ServerBootstrap mBootstrap;
-    private final ChannelGroup mConnections =
-            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private InetSocketAddress mAddress;
     private volatile Channel mListener;
     private volatile boolean mClosed;
