--- /dev/null
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/Callers.java
@@ -0,0 +1,70 @@
+package org.foxtailmoor.scenarios.processes;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.foxtailmoor.standins.http.HttpCaller;
+import org.foxtailmoor.standins.http.OutgoingCall;
+import org.foxtailmoor.standins.load.LoadRequest;
+
+/** Sends requests to caller ports and keeps the history of what came back. */
+final class Callers implements AutoCloseable {
+    private static final int CONNECTIONS = 256;
+
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpCaller mCaller = HttpCaller.of(mGroup, CONNECTIONS);
+    private final List<CallRecord> mHistory = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mOpen = new AtomicInteger();
+
+    /** Sends one attempt; the result never completes exceptionally. */
+    CompletableFuture<CallRecord> send(
+            LoadRequest request, InetSocketAddress entry, Map<String, String> headers) {
+        OutgoingCall plain = request.callTo(entry);
+        Map<String, String> all = new HashMap<>(plain.headers());
+        all.putAll(headers);
+        OutgoingCall call =
+                new OutgoingCall(
+                        entry,
+                        plain.method(),
+                        plain.uri(),
+                        all,
+                        plain.body(),
+                        plain.timeoutMilliseconds());
+        long sent = System.nanoTime();
+        mOpen.incrementAndGet();
+        return mCaller.call(call)
+                .handle(
+                        (answer, failure) -> {
+                            CallRecord record =
+                                    new CallRecord(request, entry, sent, answer, failure);
+                            mHistory.add(record);
+                            mOpen.decrementAndGet();
+                            return record;
+                        });
+    }
+
+    /** Returns the attempts that have ended. */
+    List<CallRecord> history() {
+        return List.copyOf(mHistory);
+    }
+
+    /** Returns the number of attempts without an answer or failure. */
+    int open() {
+        return mOpen.get();
+    }
+
+    @Override
+    public void close() {
+        mCaller.close();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/Poll.java
@@ -0,0 +1,23 @@
+package org.foxtailmoor.scenarios.processes;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Waits for conditions. */
+final class Poll {
+    private static final long INTERVAL_MILLISECONDS = 50;
+
+    private Poll() {}
+
+    /** Waits until a condition holds; fails if it does not within a number of seconds. */
+    static void until(String description, long seconds, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not within " + seconds + " s: " + description);
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLISECONDS));
+        }
+    }
+}
--- /dev/null
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/ProcessFleet.java
@@ -0,0 +1,207 @@
+package org.foxtailmoor.scenarios.processes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.foxtailmoor.standins.fleet.CatalogueSource;
+import org.foxtailmoor.standins.fleet.Deployment;
+import org.foxtailmoor.standins.fleet.Fleet;
+import org.foxtailmoor.standins.fleet.ManagedProcess;
+import org.foxtailmoor.standins.fleet.NodePlan;
+import org.foxtailmoor.standins.http.ControlClient;
+import org.foxtailmoor.standins.load.LoadKind;
+import org.foxtailmoor.standins.load.LoadRequest;
+import org.foxtailmoor.standins.load.Verdict;
+
+/** The processes of one scenario, its callers and its load; ended after the scenario. */
+public final class ProcessFleet {
+    static final LoadKind LOOKUP = LoadKind.of("lookup", 30, "/rack-catalogue/item");
+    static final LoadKind ORDER = LoadKind.of("order", 15, "/order-desk/item");
+
+    private static final int READY_SECONDS = 60;
+    private static final long KEYS_SECONDS = 40;
+    private static final long END_SECONDS = 10;
+
+    private final ControlClient mClient = new ControlClient();
+    private final Callers mCallers = new Callers();
+    private final Thread mStopper = new Thread(this::killAll);
+    private Fleet mFleet;
+    private CatalogueSource mCatalogue;
+    private SteadyLoad mLoad;
+
+    /** Starts stand-ins and nodes in two zones of one region and waits until they serve keys. */
+    void start(int lookupUpstreams, int orderUpstreams) {
+        Path root = root();
+        Deployment deployment =
+                new Deployment(
+                        "kitamine",
+                        List.of(
+                                new Deployment.Service("rack-catalogue", lookupUpstreams, "lookup"),
+                                new Deployment.Service("order-desk", orderUpstreams, "order")),
+                        List.of("sapporo-a", "otaru-a"),
+                        Map.of("sapporo-a", "doo", "otaru-a", "doo"),
+                        20);
+        int ports = 3 + (lookupUpstreams + orderUpstreams) * NodePlan.PORTS;
+        Path directory = createDirectory(root);
+        mFleet = new Fleet(root, directory, deployment, FreePorts.block(ports), mClient);
+        Runtime.getRuntime().addShutdownHook(mStopper);
+        mCatalogue = new CatalogueSource(root, "kitamine", directory);
+        mFleet.startStandins("{\"slots\":20,\"service_milliseconds\":20}");
+        publishCatalogue(1);
+        mFleet.publishInstances();
+        mFleet.startNodes();
+        mFleet.awaitReady(READY_SECONDS);
+        awaitKeys();
+    }
+
+    Fleet fleet() {
+        return mFleet;
+    }
+
+    ControlClient client() {
+        return mClient;
+    }
+
+    Callers callers() {
+        return mCallers;
+    }
+
+    List<NodePlan> plans() {
+        return mFleet.plans();
+    }
+
+    NodePlan plan(String id) {
+        return plans().stream().filter(plan -> plan.id().equals(id)).findFirst().orElseThrow();
+    }
+
+    ManagedProcess process(String id) {
+        return mFleet.process(id);
+    }
+
+    /** Starts lookups and keyed orders through every node. */
+    SteadyLoad startLoad(boolean repeating) {
+        mLoad = new SteadyLoad(mCallers, mFleet.callers(null), repeating);
+        mLoad.start(LOOKUP, Map.of());
+        mLoad.start(ORDER, Map.of());
+        return mLoad;
+    }
+
+    SteadyLoad load() {
+        return mLoad;
+    }
+
+    void publishCatalogue(int number) {
+        mFleet.publishCatalogue(mCatalogue.build(number));
+    }
+
+    Path buildCatalogue(int number) {
+        return mCatalogue.build(number);
+    }
+
+    /** Publishes the instance list with one instance leaving. */
+    void publishLeaving(String id) {
+        ObjectNode list = JsonNodeFactory.instance.objectNode();
+        ArrayNode instances = list.putArray("instances");
+        for (NodePlan plan : plans()) {
+            instances.add(plan.instance(plan.id().equals(id) ? "leaving" : "live"));
+        }
+        byte[] body = list.toString().getBytes(StandardCharsets.UTF_8);
+        mClient.send(mFleet.platformControl(), "PUT", "/control/instances", body);
+    }
+
+    void setPlatformFaults(String json) {
+        byte[] body = json.getBytes(StandardCharsets.UTF_8);
+        mClient.send(mFleet.platformControl(), "POST", "/control/faults", body);
+    }
+
+    JsonNode targets() {
+        return mClient.getJson(mFleet.targetControl(), "/control/targets");
+    }
+
+    HistoryCheck check() {
+        JsonNode executions = mClient.getJson(mFleet.targetControl(), "/control/executions");
+        return new HistoryCheck(mCallers.history(), executions);
+    }
+
+    /** Sends a signal to a process of this fleet. */
+    void signal(String id, String signal) {
+        try {
+            String pid = Long.toString(process(id).pid());
+            int code = new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
+            if (code != 0) {
+                throw new IllegalStateException("kill -" + signal + " failed for " + id);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends every process that was started, also stopped ones. */
+    void close() {
+        if (mLoad != null) {
+            mLoad.close();
+        }
+        killAll();
+        mCallers.close();
+        mClient.close();
+        if (mFleet != null) {
+            Runtime.getRuntime().removeShutdownHook(mStopper);
+        }
+    }
+
+    private void killAll() {
+        if (mFleet == null) {
+            return;
+        }
+        List<ManagedProcess> all =
+                Stream.concat(
+                                plans().stream().map(plan -> process(plan.id())),
+                                Stream.of(process("platform"), process("targets")))
+                        .filter(process -> process != null)
+                        .toList();
+        all.forEach(ManagedProcess::kill);
+        all.forEach(process -> process.awaitEnd(END_SECONDS));
+    }
+
+    /** A home takes keys only once its guard has passed; until then it answers unknown. */
+    private void awaitKeys() {
+        for (InetSocketAddress caller : mFleet.callers(null)) {
+            for (int right = 0; right < mFleet.callers("order-desk").size(); right++) {
+                Poll.until(
+                        "orders run by port " + caller.getPort(), KEYS_SECONDS, () -> runs(caller));
+            }
+        }
+    }
+
+    private boolean runs(InetSocketAddress caller) {
+        return mCallers.send(LoadRequest.create(ORDER), caller, Map.of()).join().verdict()
+                == Verdict.RIGHT;
+    }
+
+    private static Path root() {
+        Path directory = Path.of("").toAbsolutePath();
+        return Files.exists(directory.resolve("bin")) ? directory : directory.getParent();
+    }
+
+    private static Path createDirectory(Path root) {
+        try {
+            Path parent = root.resolve("foxtailmoor-scenarios/target/processes");
+            Files.createDirectories(parent);
+            return Files.createTempDirectory(parent, "run-");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
