Run node processes through leaving targets, cut answers, outages and restarts

The scenarios kill, pause and restart nodes, cut answers at targets and change the platform's faults, and compare what callers saw with the targets' records. Seeds can be given to a node of the fleet, because a node that starts while the platform is down knows no other one.

--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/FleetSteps.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/FleetSteps.java
@@ -3,11 +3,15 @@
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.When;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.standins.fleet.NodePlan;
 
 /** Steps that start, load and end the processes of a scenario. */
 public final class FleetSteps {
     private static final long FLOWING_SECONDS = 30;
+    private static final long END_SECONDS = 10;
 
     private final ProcessFleet mFleet;
 
@@ -27,20 +31,53 @@
 
     @Given("callers send lookups and keyed orders through every node")
     public void callersSend() {
-        mFleet.startLoad(false);
+        SteadyLoad load = mFleet.newLoad(false);
+        load.start(ProcessFleet.LOOKUP, Map.of());
+        load.start(ProcessFleet.ORDER, Map.of());
         awaitMoreAnswers(60);
     }
 
-    @Given("callers send keyed orders and repeat each unanswered one with its key elsewhere")
-    public void callersSendAndRepeat() {
-        mFleet.startLoad(true);
-        awaitMoreAnswers(60);
+    @When("{int} more requests have ended")
+    public void moreRequestsHaveEnded(int count) {
+        awaitMoreAnswers(count);
     }
 
-    @When("the load goes on for {int} seconds and ends")
-    public void theLoadGoesOnAndEnds(int seconds) {
+    @When("the node {word} is killed")
+    public void isKilled(String id) {
+        mFleet.process(id).kill();
+        Poll.until(id + " has ended", END_SECONDS, () -> !mFleet.process(id).isAlive());
+    }
+
+    @When("the node {word} is started again")
+    public void isStartedAgain(String id) {
+        // Without seeds a node that starts while the platform is down knows no other node.
+        List<NodePlan> seeds =
+                mFleet.plans().stream()
+                        .filter(plan -> !plan.id().equals(id))
+                        .filter(plan -> mFleet.process(plan.id()).isAlive())
+                        .toList();
+        mFleet.fleet().startNode(mFleet.plan(id), seeds);
+    }
+
+    @When("the node {word} is paused")
+    public void isPaused(String id) {
+        mFleet.signal(id, "STOP");
+    }
+
+    @When("the node {word} is continued")
+    public void isContinued(String id) {
+        mFleet.signal(id, "CONT");
+    }
+
+    @When("the load goes on for {int} seconds")
+    public void theLoadGoesOn(int seconds) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         Poll.until("the time of the load", seconds + 1L, () -> System.nanoTime() > end);
+    }
+
+    @When("the load goes on for {int} seconds and ends")
+    public void theLoadGoesOnAndEnds(int seconds) {
+        theLoadGoesOn(seconds);
         mFleet.load().stop();
     }
 
--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/ProcessFleet.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/ProcessFleet.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.foxtailmoor.standins.fleet.CatalogueSource;
+import org.foxtailmoor.standins.fleet.Convergence;
 import org.foxtailmoor.standins.fleet.Deployment;
 import org.foxtailmoor.standins.fleet.Fleet;
 import org.foxtailmoor.standins.fleet.ManagedProcess;
@@ -88,11 +89,9 @@
         return mFleet.process(id);
     }
 
-    /** Starts lookups and keyed orders through every node. */
-    SteadyLoad startLoad(boolean repeating) {
+    /** Creates the load of this scenario, which sends through every node. */
+    SteadyLoad newLoad(boolean repeating) {
         mLoad = new SteadyLoad(mCallers, mFleet.callers(null), repeating);
-        mLoad.start(LOOKUP, Map.of());
-        mLoad.start(ORDER, Map.of());
         return mLoad;
     }
 
@@ -104,8 +103,9 @@
         mFleet.publishCatalogue(mCatalogue.build(number));
     }
 
-    Path buildCatalogue(int number) {
-        return mCatalogue.build(number);
+    /** Publishes a version and waits until every node has it in force. */
+    Convergence publishAndConverge(int number) {
+        return Convergence.publish(mFleet, mCatalogue.build(number), number, plans());
     }
 
     /** Publishes the instance list with one instance leaving. */
@@ -124,8 +124,20 @@
         mClient.send(mFleet.platformControl(), "POST", "/control/faults", body);
     }
 
-    JsonNode targets() {
-        return mClient.getJson(mFleet.targetControl(), "/control/targets");
+    /** Returns the state of the target beside a node, see the target stand-in. */
+    JsonNode target(NodePlan plan) {
+        for (JsonNode target : mClient.getJson(mFleet.targetControl(), "/control/targets")) {
+            if (target.get("port").asInt() == plan.target().getPort()) {
+                return target;
+            }
+        }
+        throw new IllegalStateException("no target beside " + plan.id());
+    }
+
+    void setTargetBehaviour(NodePlan plan, String json) {
+        String uri = "/control/targets/target-" + plan.target().getPort() + "/behaviour";
+        byte[] body = json.getBytes(StandardCharsets.UTF_8);
+        mClient.send(mFleet.targetControl(), "POST", uri, body);
     }
 
     HistoryCheck check() {
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Fleet.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/Fleet.java
@@ -177,15 +177,25 @@
         mPlans.forEach(this::startNode);
     }
 
-    /** Starts a node, unless it runs. */
+    /** Starts a node without seed peers, unless it runs. */
     public void startNode(NodePlan plan) {
+        startNode(plan, List.of());
+    }
+
+    /**
+     * Starts a node, unless it runs.
+     *
+     * @param plan node to start
+     * @param seeds nodes that it learns the instance list from if the platform is down
+     */
+    public void startNode(NodePlan plan, List<NodePlan> seeds) {
         ManagedProcess earlier = mProcesses.get(plan.id());
         if (earlier != null && earlier.isAlive()) {
             return;
         }
         Path settings = mDirectory.resolve(plan.id() + ".toml");
         try {
-            Files.writeString(settings, plan.settings(mFirstPort));
+            Files.writeString(settings, plan.settings(mFirstPort, seeds));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/NodePlan.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/fleet/NodePlan.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Identity and ports of one node and its target on loopback.
@@ -49,8 +51,17 @@
                 .put("state", state);
     }
 
-    /** Returns the settings file of the node. */
-    public String settings(int platformPort) {
+    /**
+     * Returns the settings file of the node.
+     *
+     * @param platformPort port of the platform
+     * @param seeds nodes that this one asks at its start besides the platform, may be empty
+     */
+    public String settings(int platformPort, List<NodePlan> seeds) {
+        String addresses =
+                seeds.stream()
+                        .map(seed -> "\"" + ADDRESS + ":" + (seed.firstPort + 3) + "\"")
+                        .collect(Collectors.joining(", "));
         return """
                 [node]
                 id = "%s"
@@ -70,6 +81,9 @@
                 [platform]
                 address = "%s"
                 port = %d
+
+                [peers]
+                seeds = [%s]
                 """
                 .formatted(
                         id,
@@ -84,6 +98,7 @@
                         ADDRESS,
                         firstPort,
                         ADDRESS,
-                        platformPort);
+                        platformPort,
+                        addresses);
     }
 }
