--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/FleetSteps.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/FleetSteps.java
@@ -29,6 +29,11 @@
         mFleet.start(lookups, orders);
     }
 
+    @Given("the order nodes take keys")
+    public void orderNodesTakeKeys() {
+        mFleet.awaitKeys();
+    }
+
     @Given("callers send lookups and keyed orders through every node")
     public void callersSend() {
         SteadyLoad load = mFleet.newLoad(false);
@@ -45,6 +50,7 @@
     @When("the node {word} is killed")
     public void isKilled(String id) {
         mFleet.process(id).kill();
+        mFleet.setLastFault(System.nanoTime());
         Poll.until(id + " has ended", END_SECONDS, () -> !mFleet.process(id).isAlive());
     }
 
--- a/foxtailmoor-scenarios/src/test/resources/features/at_most_once.feature
+++ b/foxtailmoor-scenarios/src/test/resources/features/at_most_once.feature
@@ -3,6 +3,7 @@
 
   Scenario: Homes are killed and paused under keyed orders
     Given a fleet with 1 lookup nodes and 4 order nodes
+    And the order nodes take keys
     And callers send keyed orders and repeat each unanswered one with its key elsewhere
     When 60 more requests have ended
     And the node order-desk-1 is killed
