--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
@@ -27,7 +27,9 @@
     private static final int LISTEN_RETRY_MILLISECONDS = 10;
 
     private final ServerBootstrap mBootstrap;
-    private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    /** Takes new connections after a close of all, because a crashed target comes back. */
+    private final ChannelGroup mConnections =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, false);
     private InetSocketAddress mAddress;
     private volatile Channel mListener;
     private volatile boolean mClosed;
@@ -99,12 +101,9 @@
                 });
     }
 
-    /**
-     * Closes every open connection, without the answers that are still to come. The group itself
-     * stays open: a closed group would close every later connection too.
-     */
+    /** Closes every open connection, without the answers that are still to come. */
     public void closeConnections() {
-        mConnections.forEach(Channel::close);
+        mConnections.close();
     }
 
     /** Makes every open connection go silent: it stays open and no byte is read or written. */
@@ -134,6 +133,10 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                if (mClosed) {
+                    channel.close();
+                    return;
+                }
                 mConnections.add(channel);
                 channel.pipeline()
                         .addLast(new HttpServerCodec())
