--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/ProcessFleet.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/processes/ProcessFleet.java
@@ -111,7 +111,9 @@
     }
 
     void publishCatalogue(int number) {
-        mFleet.publishCatalogue(mCatalogue.build(number));
+        Path built = mCatalogue.build(number);
+        mFleet.publishParts(built);
+        mFleet.publishManifest(built);
     }
 
     /** Publishes a version and waits until every node has it in force. */
--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/http/HttpServer.java
@@ -27,9 +27,11 @@
     private static final int LISTEN_RETRY_MILLISECONDS = 10;
 
     private final ServerBootstrap mBootstrap;
+
     /** Takes new connections after a close of all, because a crashed target comes back. */
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, false);
+
     private InetSocketAddress mAddress;
     private volatile Channel mListener;
     private volatile boolean mClosed;
