--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
@@ -176,7 +176,11 @@
         }
         throw FoxtailmoorException.of(
                 ErrorKind.SETTINGS_INVALID,
-                mSource + " has " + mFaults.size() + " faults:\n  " + String.join("\n  ", mFaults));
+                mSource
+                        + " has "
+                        + mFaults.size()
+                        + (mFaults.size() == 1 ? " fault:\n  " : " faults:\n  ")
+                        + String.join("\n  ", mFaults));
     }
 
     private JsonNode find(String key) {
--- a/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusFormatter.java
+++ b/foxtailmoor-status/src/main/java/org/foxtailmoor/status/StatusFormatter.java
@@ -117,7 +117,7 @@
                 orAbsent(status.zone()),
                 state(status),
                 orAbsent(catalogue.version()),
-                seconds(catalogue.inForceMilliseconds()),
+                catalogue.number() == 0 ? ABSENT : seconds(catalogue.inForceMilliseconds()),
                 orAbsent(catalogue.from()),
                 Long.toString(newest - catalogue.number()),
                 seconds(catalogue.sourceAgeMilliseconds()),
@@ -183,6 +183,9 @@
     }
 
     private static String seconds(long milliseconds) {
+        if (milliseconds < 0) {
+            return ABSENT;
+        }
         return milliseconds / 1000 + "." + milliseconds % 1000 / 100 + " s";
     }
 
