--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/ErrorKind.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/ErrorKind.java
@@ -32,7 +32,9 @@
     /** The home of the idempotency key is unreachable or may not run the key now. */
     HOME_UNAVAILABLE(503, Execution.NOT_RUN, true),
     /** The deadline passed, or was certain to pass, before the request ran. */
-    DEADLINE_BEFORE_RUN(504, Execution.NOT_RUN, false),
+    DEADLINE_BEFORE_RUN(503, Execution.NOT_RUN, false),
+    /** The target stated that it did not run the request. */
+    UPSTREAM_REJECTED(503, Execution.NOT_RUN, true),
     /** The deadline passed after the request was handed to the target. */
     DEADLINE_EXCEEDED(504, Execution.UNKNOWN, false),
     /** The target or the connection to it failed after the request was handed over. */
@@ -56,6 +58,8 @@
     ADDRESS_IN_USE(5),
     /** The platform or a node does not answer. */
     PLATFORM_UNAVAILABLE(6),
+    /** The platform has discarded the history that was asked for. */
+    PLATFORM_HISTORY_LOST(6),
     /** Nodes disagree for longer than the limit. */
     DISAGREEMENT(7);
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/Work.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/Work.java
@@ -10,6 +10,16 @@
     /** Returns the ticker time at which the request's deadline passes; constant. */
     long deadlineNanoseconds();
 
+    /** Returns the rank among waiting requests, 0 goes first; constant. */
+    default int priority() {
+        return 0;
+    }
+
+    /** Returns the ticker time until which an answer is on time, at most the deadline; constant. */
+    default long objectiveNanoseconds() {
+        return deadlineNanoseconds();
+    }
+
     /** Returns whether the request must run without any other request at the target. */
     boolean runsAlone();
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
@@ -21,6 +21,16 @@
     /** Returns the ticker time at which the deadline passes; constant. */
     long deadlineNanoseconds();
 
+    /** Returns the rank among waiting requests, 0 goes first; constant. */
+    default int priority() {
+        return 0;
+    }
+
+    /** Returns the ticker time until which an answer is on time, at most the deadline; constant. */
+    default long objectiveNanoseconds() {
+        return deadlineNanoseconds();
+    }
+
     /**
      * Sends the request to the target now, in the same call, so that the checks made at the moment
      * of dispatch still hold. A node that must open a connection first calls {@link
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -16,13 +16,14 @@
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.ServiceView;
+import org.foxtailmoor.protocol.generated.RequestStart;
 
 /**
  * Joins the decisions at a home in the right order: key memory, fingerprint, key conditions,
  * limits, queue, and at the moment of dispatch the fingerprint, lease and key conditions again,
  * because the process may have been paused while the request waited. Belongs to the data loop.
  */
-public final class HomeRequests {
+public final class HomeRequests implements HomeDecisions {
     /** Repeats that may join one running request; further ones get OUTCOME_UNKNOWN. */
     public static final int JOIN_LIMIT = 16;
 
@@ -34,6 +35,8 @@
     private final CrashGuard mGuard;
     private final Map<HomeRequest, HomeWork> mWorks = new IdentityHashMap<>();
     private final Map<IdempotencyKey, HomeWork> mByKey = new HashMap<>();
+    private RoutingSnapshot mSnapshot;
+    private String mServiceId;
     private ServiceView mService;
     private boolean mLeaving;
 
@@ -63,14 +66,11 @@
         return new HomeRequests(ticker, admission, limits, ledger, terms, guard);
     }
 
-    /**
-     * Takes the routing snapshot in force; must be called before the first request. Without the
-     * service, the home of no key is here.
-     *
-     * @param snapshot snapshot, not null
-     * @param serviceId id of the service of this node's target, not null
-     */
+    /** Takes the routing snapshot in force. Without the service, the home of no key is here. */
+    @Override
     public void update(RoutingSnapshot snapshot, String serviceId) {
+        mSnapshot = snapshot;
+        mServiceId = serviceId;
         mService = snapshot.service(serviceId);
         List<String> members = mService == null ? List.of() : mService.homeMembers();
         mTerms.update(snapshot.instancesVersion(), members);
@@ -79,7 +79,28 @@
         }
     }
 
-    /** Takes a request whose body is whole, not null. */
+    @Override
+    public ErrorKind obstacle(RequestStart start) {
+        if (mSnapshot == null) {
+            return ErrorKind.NOT_READY;
+        }
+        if (!start.getServiceId().equals(mServiceId)) {
+            // The entry's instance list has another instance at this address.
+            return ErrorKind.NO_UPSTREAM;
+        }
+        if (mSnapshot.routeById(start.getRouteId()) == null) {
+            long number = mSnapshot.catalogueVersion().getNumber();
+            boolean entryIsAhead = Long.compareUnsigned(start.getCatalogueNumber(), number) > 0;
+            return entryIsAhead ? ErrorKind.NOT_READY : ErrorKind.NO_ROUTE;
+        }
+        boolean keyed = !start.getIdempotencyKey().isEmpty();
+        if (keyed && IdempotencyKey.parse(start.getIdempotencyKey()) == null) {
+            return ErrorKind.KEY_INVALID;
+        }
+        return null;
+    }
+
+    @Override
     public void accept(HomeRequest request) {
         if (request.key() != null && answerFromMemory(request)) {
             return;
@@ -107,13 +128,7 @@
         mAdmission.submit(work);
     }
 
-    /**
-     * Checks the conditions of dispatch again, immediately before the node writes to a connection
-     * that it had to open after {@link HomeRequest#dispatch}.
-     *
-     * @param request dispatched request of which no byte was sent, not null
-     * @return whether the node must send the request now; if not, the request was refused here
-     */
+    @Override
     public boolean confirmDispatch(HomeRequest request) {
         ErrorKind obstacle = dispatchObstacle(request);
         if (obstacle != null) {
@@ -122,10 +137,7 @@
         return obstacle == null;
     }
 
-    /**
-     * Records the whole answer of the target to a dispatched request. The node answers the request
-     * itself; requests that joined it are answered here.
-     */
+    @Override
     public void completed(HomeRequest request, StoredAnswer answer) {
         HomeWork work = take(request);
         if (work == null) {
@@ -145,14 +157,12 @@
     }
 
     /**
-     * Refuses a dispatched request that ended without a whole answer, such as after its deadline or
-     * a cut answer. Its key is kept with an unknown outcome. Non-idempotent work whose target
-     * failed answers OUTCOME_UNKNOWN.
+     * Refuses a dispatched request that ended without a whole answer. Its key is kept with an
+     * unknown outcome. Non-idempotent work whose target failed answers OUTCOME_UNKNOWN.
      *
-     * @param request dispatched request, not null
-     * @param kind kind that does not say "not run", not null
      * @throws IllegalArgumentException if the kind says "not run"
      */
+    @Override
     public void failed(HomeRequest request, ErrorKind kind) {
         if (kind.isNotRun()) {
             throw new IllegalArgumentException(kind + " says not run of a dispatched request");
@@ -174,12 +184,7 @@
         mAdmission.complete(work);
     }
 
-    /**
-     * Refuses a dispatched request of which no byte has reached the target, as not run.
-     *
-     * @param request dispatched request, not null
-     * @param kind kind to state, not null
-     */
+    @Override
     public void notSent(HomeRequest request, ErrorKind kind) {
         HomeWork work = mWorks.get(request);
         if (work != null) {
@@ -188,10 +193,7 @@
         }
     }
 
-    /**
-     * Counts a crash for the requests that were in flight on target connections that died, and ends
-     * them like {@link #failed} with UPSTREAM_FAILED.
-     */
+    @Override
     public void crashed(Collection<? extends HomeRequest> requests) {
         for (HomeRequest request : requests) {
             HomeWork work = mWorks.get(request);
@@ -203,7 +205,7 @@
         }
     }
 
-    /** Ends the interest of a caller in its request. */
+    @Override
     public Cancellation cancel(HomeRequest request) {
         HomeWork work = mWorks.get(request);
         if (work == null) {
@@ -222,17 +224,19 @@
     }
 
     /** Refuses new work as LEAVING from now on; repeats of known keys are still answered. */
+    @Override
     public void leave() {
         mLeaving = true;
         mAdmission.leave();
     }
 
-    /** Returns whether no request runs or waits. */
+    @Override
     public boolean isIdle() {
         return mWorks.isEmpty();
     }
 
     /** Runs the systems over the queues, keys, terms, fingerprints and joined requests. */
+    @Override
     public void tick() {
         mTerms.tick();
         mAdmission.tick();
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -9,12 +9,12 @@
  * a failed attempt. Belongs to the data loop.
  *
  * <pre>{@code
- * Decision<EntryRequest> begun = decisions.begin(snapshot, "GET", "/a", null, 0, 0);
+ * Decision<EntryRequest> begun = decisions.begin(snapshot, "", "GET", "/a", null, 0, 0);
  * Decision<Upstream> upstream = decisions.choose(begun.value());
  * RetryDecision next = decisions.afterFailure(begun.value(), upstream.value(), failure);
  * }</pre>
  */
-public final class EntryDecisions {
+public final class EntryDecisions implements RequestDecisions {
     private final EpochClock mClock;
     private final UpstreamTable mUpstreams;
     private final Balancer mBalancer;
@@ -34,27 +34,17 @@
         return new EntryDecisions(clock, upstreams, balancer, policy);
     }
 
-    /**
-     * Routes a request and checks its key and body length.
-     *
-     * @param snapshot snapshot acquired for the request, not null
-     * @param method HTTP method, not null
-     * @param path request path, with or without query, not null
-     * @param keyHeader value of the {@code Idempotency-Key} header, or null without one
-     * @param bodyBytes length of the body, at least 0
-     * @param callerDeadlineMilliseconds time that the caller allows, 0 if it states none; the
-     *     route's deadline applies if it is shorter
-     * @return the request, or NO_ROUTE, KEY_REQUIRED, KEY_INVALID or BODY_TOO_LARGE
-     */
+    @Override
     public Decision<EntryRequest> begin(
             RoutingSnapshot snapshot,
+            String host,
             String method,
             String path,
             String keyHeader,
             long bodyBytes,
             long callerDeadlineMilliseconds) {
         mUpstreams.update(snapshot);
-        Route route = snapshot.route(method, path);
+        Route route = snapshot.route(host, method, path);
         if (route == null) {
             return Decision.refused(ErrorKind.NO_ROUTE);
         }
@@ -74,14 +64,10 @@
     }
 
     /**
-     * Selects the upstream of the next attempt and counts the attempt. Each attempt ends with
-     * {@link #afterFailure} or {@link #succeeded}.
-     *
-     * @param request request, not null
-     * @return the balancer's choice, or the home of the request's key; or NO_UPSTREAM,
-     *     HOME_UNAVAILABLE, DEADLINE_BEFORE_RUN, or a kind that does not say "not run" if an
-     *     earlier attempt may have run
+     * Selects the balancer's choice, or the home of the request's key, see {@link
+     * RequestDecisions#choose}.
      */
+    @Override
     public Decision<Upstream> choose(EntryRequest request) {
         if (remainingNanoseconds(request) <= 0) {
             return Decision.refused(truthful(request, ErrorKind.DEADLINE_BEFORE_RUN));
@@ -101,13 +87,7 @@
         return Decision.of(chosen);
     }
 
-    /**
-     * Records a failed attempt and decides what follows.
-     *
-     * @param request request, not null
-     * @param upstream upstream of the attempt, not null
-     * @param failure why the attempt failed, not null
-     */
+    @Override
     public RetryDecision afterFailure(
             EntryRequest request, Upstream upstream, AttemptFailure failure) {
         mUpstreams.attemptEnded(upstream.id());
@@ -135,13 +115,14 @@
                 truthful(request, failure.kind()), failure.retryAfterMilliseconds());
     }
 
-    /** Records that an attempt brought a whole answer. */
-    public void succeeded(EntryRequest request, Upstream upstream) {
+    @Override
+    public boolean repeatsAnswer(EntryRequest request, Upstream upstream, int status) {
         mUpstreams.attemptEnded(upstream.id());
         mUpstreams.reportSuccess(upstream.id());
+        return false;
     }
 
-    /** Records that an attempt ended without result because the caller or the deadline ended it. */
+    @Override
     public void abandoned(EntryRequest request, Upstream upstream) {
         mUpstreams.attemptEnded(upstream.id());
     }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
@@ -15,17 +15,32 @@
     private final RoutingSnapshot mSnapshot;
     private final Route mRoute;
     private final IdempotencyKey mKey;
+    private final String mServiceId;
     private final long mDeadlineNanoseconds;
+    private final long mObjectiveNanoseconds;
     private final List<String> mTried = new ArrayList<>(2);
     private int mAttempts;
+    private int mArrivals;
     private boolean mMayHaveRun;
 
     EntryRequest(
             RoutingSnapshot snapshot, Route route, IdempotencyKey key, long deadlineNanoseconds) {
+        this(snapshot, route, key, route.serviceId(), deadlineNanoseconds, deadlineNanoseconds);
+    }
+
+    EntryRequest(
+            RoutingSnapshot snapshot,
+            Route route,
+            IdempotencyKey key,
+            String serviceId,
+            long deadlineNanoseconds,
+            long objectiveNanoseconds) {
         mSnapshot = Objects.requireNonNull(snapshot, "snapshot");
         mRoute = Objects.requireNonNull(route, "route");
         mKey = key;
+        mServiceId = Objects.requireNonNull(serviceId, "serviceId");
         mDeadlineNanoseconds = deadlineNanoseconds;
+        mObjectiveNanoseconds = objectiveNanoseconds;
     }
 
     /** Returns the snapshot that routed the request. */
@@ -38,6 +53,16 @@
         return mRoute;
     }
 
+    /** Returns the id of the service that serves the request, one of those of its route. */
+    public String serviceId() {
+        return mServiceId;
+    }
+
+    /** Returns the ticker time until which an answer is on time; at most the deadline. */
+    public long objectiveNanoseconds() {
+        return mObjectiveNanoseconds;
+    }
+
     /** Returns the idempotency key, or null if the request has none. */
     public IdempotencyKey key() {
         return mKey;
@@ -63,6 +88,15 @@
         return Collections.unmodifiableList(mTried);
     }
 
+    /** Returns the number of attempts that reached a target, whether it ran them or not. */
+    public int arrivals() {
+        return mArrivals;
+    }
+
+    void countArrival() {
+        mArrivals++;
+    }
+
     void countAttempt(String upstreamId) {
         mAttempts++;
         if (mKey == null) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
@@ -28,13 +29,16 @@
  * that match it have no route, rather than the route of a shorter prefix.
  */
 public final class RoutingSnapshot implements Versioned<RoutingSnapshot> {
+    private static final String ANY_HOST = "";
+
     private final DocumentVersion mCatalogueVersion;
     private final DocumentVersion mInstancesVersion;
     private final Map<String, ServiceView> mServices = new HashMap<>();
     private final Map<String, Route> mRoutes = new HashMap<>();
+    private final Map<String, Upstream> mUpstreamsByAddress = new HashMap<>();
     private final Map<String, List<String>> mFallbackRegions = new HashMap<>();
     private final Set<String> mIncompleteRoutes = new TreeSet<>();
-    private final RouteTree mTree = new RouteTree();
+    private final Map<String, RouteTree> mTreesByHost = new HashMap<>();
 
     private RoutingSnapshot(
             CatalogueSnapshot catalogue, DocumentVersion instancesVersion, List<Upstream> all) {
@@ -43,6 +47,7 @@
         Map<String, List<Upstream>> byService = new HashMap<>();
         for (Upstream upstream : all) {
             byService.computeIfAbsent(upstream.serviceId(), id -> new ArrayList<>()).add(upstream);
+            mUpstreamsByAddress.put(upstream.address() + ':' + upstream.nodePort(), upstream);
         }
         catalogue
                 .services()
@@ -98,7 +103,20 @@
      * @param path request path, not null; a query after {@code ?} is ignored
      */
     public Route route(String method, String path) {
-        return mTree.find(method, path);
+        return find(ANY_HOST, method, path);
+    }
+
+    /**
+     * Returns the route of a request to a host, or null if none matches. Routes of the host take
+     * precedence over routes of any host.
+     *
+     * @param host host that the request names, without port, not null
+     * @param method HTTP method, not null
+     * @param path request path, not null; a query after {@code ?} is ignored
+     */
+    public Route route(String host, String method, String path) {
+        Route route = find(host.toLowerCase(Locale.ROOT), method, path);
+        return route == null ? find(ANY_HOST, method, path) : route;
     }
 
     /** Returns the route with an id, or null if the snapshot has no such route. */
@@ -106,6 +124,16 @@
         return mRoutes.get(id);
     }
 
+    /**
+     * Returns the upstream whose node has an address, or null if there is none.
+     *
+     * @param address IP number, not null
+     * @param nodePort port for requests between nodes
+     */
+    public Upstream upstreamAt(String address, int nodePort) {
+        return mUpstreamsByAddress.get(address + ':' + nodePort);
+    }
+
     /** Returns the service with an id, or null if the catalogue has none. */
     public ServiceView service(String id) {
         return mServices.get(id);
@@ -145,6 +173,7 @@
         Definition<RetryEntry> retry = catalogue.retries().get(entry.getRetryId());
         boolean complete =
                 service != null
+                        && hasServices(entry)
                         && requestClass != null
                         && isResolved(catalogue.limits(), entry.getLimitId())
                         && isResolved(catalogue.retries(), entry.getRetryId());
@@ -155,7 +184,19 @@
         } else {
             mIncompleteRoutes.add(definition.id());
         }
-        mTree.add(entry.getMethod(), entry.getPathPrefix(), route);
+        mTreesByHost
+                .computeIfAbsent(entry.getHost().toLowerCase(Locale.ROOT), host -> new RouteTree())
+                .add(entry.getMethod(), entry.getPathPrefix(), route);
+    }
+
+    private Route find(String host, String method, String path) {
+        RouteTree tree = mTreesByHost.get(host);
+        return tree == null ? null : tree.find(method, path);
+    }
+
+    private boolean hasServices(RouteEntry entry) {
+        return entry.getSplitList().stream()
+                .allMatch(share -> mServices.containsKey(share.getServiceId()));
     }
 
     private static boolean isResolved(SortedMap<String, ?> entries, String id) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Upstream.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Upstream.java
@@ -12,6 +12,8 @@
  * @param address IP number
  * @param nodePort port for requests between nodes
  * @param leaving whether the instance list says that the instance is leaving
+ * @param slots concurrent requests of the target, 0 if the instance list does not say
+ * @param warmUpMilliseconds time for which the target was still slow when the list named it
  */
 public record Upstream(
         String id,
@@ -20,7 +22,9 @@
         String zone,
         String address,
         int nodePort,
-        boolean leaving) {
+        boolean leaving,
+        int slots,
+        int warmUpMilliseconds) {
     /** Creates an upstream from an entry of the instance list, which must not be null. */
     public static Upstream of(Instance instance) {
         return new Upstream(
@@ -30,6 +34,8 @@
                 instance.getZone(),
                 instance.getAddress(),
                 instance.getNodePort(),
-                instance.getLeaving());
+                instance.getLeaving(),
+                instance.getSlots(),
+                instance.getWarmUpMilliseconds());
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamRow.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamRow.java
@@ -26,6 +26,18 @@
     long mLeavingUntilNanoseconds;
     LinkState mLinkState = LinkState.UNOPENED;
 
+    /** Mean time that a request spends at the target, 0 while unknown. */
+    long mServiceNanoseconds;
+
+    /** Share of recent requests that the target refused or failed, 0 to 1. */
+    double mFailureShare;
+
+    /** Smoothed round trip of the link, 0 while unknown. */
+    long mRoundTripNanoseconds;
+
+    /** Ticker time until which the target is slow after its start. */
+    long mWarmNanoseconds;
+
     UpstreamRow(String id, int slots, long nowNanoseconds, boolean warmAtStart) {
         mId = id;
         mSlots = Math.max(1, slots);
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
@@ -19,6 +19,11 @@
      */
     private static final long RUN_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    private static final double PERCENT = 100;
+
+    /** Weight of a new round trip is one part in so many, as in TCP's smoothed round trip time. */
+    private static final int ROUND_TRIP_SMOOTHING = 8;
+
     private final Ticker mTicker;
     private final List<UpstreamSystem> mSystems =
             List.of(new LoadDecaySystem(), new SlowStartSystem(), new AvoidanceSystem());
@@ -60,7 +65,10 @@
             for (Upstream upstream : view.upstreams()) {
                 UpstreamRow row = mRows.get(upstream.id());
                 if (row == null) {
-                    row = new UpstreamRow(upstream.id(), slots, now, first);
+                    int known = upstream.slots() > 0 ? upstream.slots() : slots;
+                    row = new UpstreamRow(upstream.id(), known, now, first);
+                    row.mWarmNanoseconds =
+                            now + TimeUnit.MILLISECONDS.toNanos(upstream.warmUpMilliseconds());
                 }
                 rows.put(row.mId, row);
                 service.mRows.add(row);
@@ -101,12 +109,27 @@
         }
         row.mHasLoad = true;
         row.mSlots = load.getSlots();
+        if (load.getServiceTimeMicroseconds() > 0) {
+            row.mServiceNanoseconds =
+                    TimeUnit.MICROSECONDS.toNanos(load.getServiceTimeMicroseconds());
+        }
+        row.mFailureShare = load.getFailurePercent() / PERCENT;
         row.mReportedLoad = (double) (load.getRunning() + load.getQueued()) / row.mSlots;
         row.mDecayedLoad = row.mReportedLoad;
         row.mReportedNanoseconds = mTicker.nanoTime();
         row.mOutstandingAtReport = row.mOutstanding;
     }
 
+    /** Records the round trip of a message over the link to an upstream. */
+    public void reportRoundTrip(String id, long nanoseconds) {
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            long known = row.mRoundTripNanoseconds;
+            row.mRoundTripNanoseconds =
+                    known == 0 ? nanoseconds : known + (nanoseconds - known) / ROUND_TRIP_SMOOTHING;
+        }
+    }
+
     /** Records a failure, after which the upstream is avoided for a time that grows. */
     public void reportFailure(String id) {
         UpstreamRow row = mRows.get(id);
@@ -188,6 +211,11 @@
         return row == null ? 0 : row.load();
     }
 
+    /** Returns the time of the table's clock. */
+    long nanoTime() {
+        return mTicker.nanoTime();
+    }
+
     /** Returns the number of rows. */
     public int size() {
         return mRows.size();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -23,6 +23,7 @@
 import org.foxtailmoor.node.admin.StatusEndpoint;
 import org.foxtailmoor.node.control.ControlPlane;
 import org.foxtailmoor.node.data.DataSide;
+import org.foxtailmoor.node.data.KeyedPolicies;
 import org.foxtailmoor.node.platform.HttpConfigurationSource;
 import org.foxtailmoor.node.platform.HttpInstanceList;
 import org.foxtailmoor.node.trace.HopTracer;
@@ -159,7 +160,8 @@
                                 mTracer,
                                 mSnapshots,
                                 events::lease,
-                                mControl::reportCrash));
+                                mControl::reportCrash,
+                                new KeyedPolicies()));
         events.connect(mData);
         mData.start();
         mAdmin = newAdmin(events);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -175,7 +175,7 @@
     private void onHead(HttpRequest request) {
         mKeepAlive = HttpUtil.isKeepAlive(request);
         mHeadRequest = HttpMethod.HEAD.equals(request.method());
-        EntryHead head = CallerMessages.headOf(request);
+        EntryHead head = CallerMessages.headOf(request, mEntry.parts().headers());
         if (head == null) {
             mKeepAlive = false;
             respond(failure(ErrorKind.BAD_REQUEST));
@@ -266,7 +266,8 @@
 
     private void respond(Outcome outcome) {
         boolean close = !mKeepAlive || mServer.isLeaving();
-        FullHttpResponse response = CallerMessages.responseOf(outcome, mHeadRequest);
+        FullHttpResponse response =
+                CallerMessages.responseOf(outcome, mHeadRequest, mEntry.parts().headers());
         response.headers().set(HttpHeaderNames.CONNECTION, close ? "close" : "keep-alive");
         mState = close ? State.CLOSING : State.HEAD;
         mWriting++;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
@@ -22,9 +23,14 @@
 
     private CallerMessages() {}
 
-    /** Returns the head of a request, or null if it is malformed. */
-    static EntryHead headOf(HttpRequest request) {
-        long deadline = deadlineOf(request.headers().get(HeaderFields.DEADLINE));
+    /**
+     * Returns the head of a request, or null if it is malformed.
+     *
+     * @param request request as received
+     * @param names names of the headers that the node sets
+     */
+    static EntryHead headOf(HttpRequest request, HeaderNames names) {
+        long deadline = deadlineOf(request.headers().get(names.deadline()));
         boolean valid =
                 request.decoderResult().isSuccess()
                         && request.uri().startsWith("/")
@@ -33,9 +39,11 @@
             return null;
         }
         return new EntryHead(
+                hostOf(request.headers().get(HttpHeaderNames.HOST, "")),
                 request.method().name(),
                 request.uri(),
-                HeaderFields.endToEnd(request.headers()),
+                HeaderFields.endToEnd(request.headers(), names),
+                request.headers().get(names.requestId(), ""),
                 request.headers().get(HeaderFields.IDEMPOTENCY_KEY),
                 deadline);
     }
@@ -45,11 +53,12 @@
      *
      * @param outcome outcome; its body stays owned by the caller of this method
      * @param headRequest whether the request was a HEAD request
+     * @param names names and form of the headers that the node sets
      */
-    static FullHttpResponse responseOf(Outcome outcome, boolean headRequest) {
+    static FullHttpResponse responseOf(Outcome outcome, boolean headRequest, HeaderNames names) {
         return outcome instanceof Outcome.Answer answer
                 ? answerOf(answer, headRequest)
-                : errorOf((Outcome.Failure) outcome, headRequest);
+                : errorOf((Outcome.Failure) outcome, headRequest, names);
     }
 
     private static FullHttpResponse answerOf(Outcome.Answer answer, boolean headRequest) {
@@ -76,7 +85,8 @@
         return response;
     }
 
-    private static FullHttpResponse errorOf(Outcome.Failure failure, boolean headRequest) {
+    private static FullHttpResponse errorOf(
+            Outcome.Failure failure, boolean headRequest, HeaderNames names) {
         ErrorKind kind = failure.kind();
         byte[] text = (failure.message() + "\n").getBytes(StandardCharsets.UTF_8);
         FullHttpResponse response =
@@ -93,13 +103,29 @@
                 kind.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
                         || kind.status() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
         if (retryable) {
-            // The header has whole seconds, of which 0 would ask for an immediate repeat.
-            long seconds = (failure.retryAfterMilliseconds() + 999L) / 1_000;
-            headers.set(HttpHeaderNames.RETRY_AFTER, Math.max(1, seconds));
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    retryAfterOf(failure.retryAfterMilliseconds(), names));
         }
         return response;
     }
 
+    private static String retryAfterOf(int milliseconds, HeaderNames names) {
+        if (names.fractionalRetryAfter()) {
+            return BigDecimal.valueOf(Math.max(1, milliseconds), 3).toPlainString();
+        }
+        // Whole seconds, of which 0 would ask for an immediate repeat.
+        long seconds = (milliseconds + 999L) / 1_000;
+        return Long.toString(Math.max(1, seconds));
+    }
+
+    /** Returns a host without its port; an IPv6 number keeps its brackets. */
+    private static String hostOf(String field) {
+        int colon = field.lastIndexOf(':');
+        boolean hasPort = colon >= 0 && field.indexOf(']', colon) < 0;
+        return hasPort ? field.substring(0, colon) : field;
+    }
+
     private static long deadlineOf(String value) {
         if (value == null) {
             return 0;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -17,21 +17,14 @@
 import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.FoxtailmoorException;
-import org.foxtailmoor.core.admission.AdmissionController;
+import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.admission.BodyMemory;
-import org.foxtailmoor.core.admission.FleetLimits;
 import org.foxtailmoor.core.distribution.ViewLease;
 import org.foxtailmoor.core.home.CrashGuard;
-import org.foxtailmoor.core.home.HomeRequests;
-import org.foxtailmoor.core.home.HomeTerms;
-import org.foxtailmoor.core.home.KeyLedger;
-import org.foxtailmoor.core.routing.BudgetedRetryPolicy;
-import org.foxtailmoor.core.routing.EntryDecisions;
 import org.foxtailmoor.core.routing.EpochClock;
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.SnapshotReference;
-import org.foxtailmoor.core.routing.TwoChoicesBalancer;
 import org.foxtailmoor.core.routing.Upstream;
 import org.foxtailmoor.core.routing.UpstreamTable;
 import org.foxtailmoor.node.NodeSettings;
@@ -59,9 +52,6 @@
             TimeUnit.MILLISECONDS.toNanos(SLOW_TICK_MILLISECONDS);
     private static final int SLOW_TICKS_PER_SECOND = 10;
 
-    /** Slots until the catalogue names the service of this node. */
-    private static final int INITIAL_SLOTS = 1;
-
     /**
      * Parts that a data side is built from; no component may be null.
      *
@@ -75,6 +65,7 @@
      * @param snapshots routing snapshot in force
      * @param lease gives the view lease now, or null
      * @param crashReporter receives crash counts to spread, on the data loop
+     * @param policies decisions about requests
      */
     public record Parts(
             NodeSettings settings,
@@ -86,12 +77,14 @@
             HopTracer tracer,
             SnapshotReference<RoutingSnapshot> snapshots,
             Supplier<ViewLease> lease,
-            Consumer<CrashReport> crashReporter) {}
+            Consumer<CrashReport> crashReporter,
+            DataPolicies policies) {}
 
     private final Parts mParts;
     private final EpochClock mClock;
     private final UpstreamTable mUpstreams;
-    private final AdmissionController mAdmission;
+    private final DataPolicies.Context mContext;
+    private final AdmissionPolicy mAdmission;
     private final CrashGuard mGuard;
     private final TargetClient mTarget;
     private final HomeGateway mHome;
@@ -112,16 +105,21 @@
         mParts = parts;
         NodeSettings.NodeSection node = parts.settings().node();
         Ticker ticker = parts.ticker();
-        SplittableRandom random = new SplittableRandom();
+        HeaderNames headers = parts.policies().headers();
         BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
         DataMetrics metrics = new DataMetrics(parts.metrics());
         mClock = EpochClock.of(ticker, parts.timeOfDay().getAsLong());
         mUpstreams = UpstreamTable.of(ticker);
-        mAdmission = AdmissionController.of(ticker, INITIAL_SLOTS);
         mGuard = CrashGuard.of(ticker, node.service(), node.id());
+        mContext = newContext();
+        mAdmission = parts.policies().admission(mContext);
         mTarget =
                 new TargetClient(
-                        parts.loop(), parts.settings().target().socketAddress(), memory, ticker);
+                        parts.loop(),
+                        parts.settings().target().socketAddress(),
+                        memory,
+                        ticker,
+                        headers);
         mHome =
                 new HomeGateway(
                         node.service(),
@@ -136,31 +134,38 @@
                                 metrics));
         mLinks =
                 new Links(parts.loop(), node.id(), parts.incarnation(), memory, ticker, mUpstreams);
-        EntryDecisions decisions =
-                EntryDecisions.of(
-                        mClock,
-                        mUpstreams,
-                        TwoChoicesBalancer.of(mUpstreams, random, node.region(), node.zone()),
-                        BudgetedRetryPolicy.of(ticker, random));
         mEntry =
                 new EntryGateway(
-                        node.id(),
+                        this::isLocal,
                         new EntryGateway.Parts(
                                 parts.loop(),
                                 ticker,
                                 parts.snapshots(),
-                                decisions,
+                                parts.policies().requests(mContext),
                                 mLinks,
                                 mHome,
                                 parts.tracer(),
                                 metrics,
-                                () -> mReady));
+                                () -> mReady,
+                                headers,
+                                () -> parts.policies().callerService(node)));
         mCallers = new CallerServer(mEntry, memory);
         mLinkServer = new LinkServer(node.id(), parts.incarnation(), mHome, memory, ticker);
         mDrain = new DataDrain(ticker, mHome, mEntry, mCallers, mLinkServer, mLinks);
         registerGauges(metrics, memory);
     }
 
+    private DataPolicies.Context newContext() {
+        return new DataPolicies.Context(
+                mParts.settings().node(),
+                mParts.ticker(),
+                mClock,
+                new SplittableRandom(),
+                mUpstreams,
+                mGuard,
+                mParts.lease());
+    }
+
     /** Creates a data side that neither listens nor ticks before {@link #start()}. */
     public static DataSide of(Parts parts) {
         return new DataSide(parts);
@@ -234,7 +239,7 @@
         mParts.loop()
                 .execute(
                         () -> {
-                            mUpstreams.markLeaving(mParts.settings().node().id());
+                            markOwnUpstreamLeaving();
                             mDrain.start(drained);
                         });
         return drained;
@@ -277,15 +282,25 @@
             return;
         }
         mReady = true;
-        HomeTerms terms = HomeTerms.of(mClock, mParts.settings().node().id(), mParts.lease());
-        mHome.open(
-                HomeRequests.of(
-                        mParts.ticker(),
-                        mAdmission,
-                        FleetLimits.of(mParts.ticker()),
-                        KeyLedger.of(mParts.ticker()),
-                        terms,
-                        mGuard));
+        mHome.open(mParts.policies().home(mContext, mAdmission));
+    }
+
+    /** Returns whether an upstream is the target beside this node. */
+    private boolean isLocal(Upstream upstream) {
+        NodeSettings.NodeSection node = mParts.settings().node();
+        boolean sameAddress =
+                upstream.nodePort() == node.nodePort() && upstream.address().equals(node.address());
+        return sameAddress || upstream.id().equals(node.id());
+    }
+
+    private void markOwnUpstreamLeaving() {
+        NodeSettings.NodeSection node = mParts.settings().node();
+        mUpstreams.markLeaving(node.id());
+        Upstream own =
+                mSnapshot == null ? null : mSnapshot.upstreamAt(node.address(), node.nodePort());
+        if (own != null) {
+            mUpstreams.markLeaving(own.id());
+        }
     }
 
     private void takeSnapshot() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -35,6 +35,7 @@
     private ScheduledFuture<?> mDeadline;
     private ScheduledFuture<?> mBackoff;
     private Outcome.Failure mLastFailure;
+    private Outcome.Answer mKeptAnswer;
     private boolean mEnded;
 
     EntryCall(
@@ -114,15 +115,17 @@
         Cancellable cancellation =
                 mGateway.send(
                         chosen.value(),
-                        startOfAttempt(),
+                        startOfAttempt(chosen.value()),
                         mBody.retain(),
                         mRequest.deadlineNanoseconds(),
                         attempt);
         attempt.mCancellation = cancellation;
     }
 
-    private RequestStart startOfAttempt() {
-        long left = mRequest.deadlineNanoseconds() - mGateway.parts().ticker().nanoTime();
+    private RequestStart startOfAttempt(Upstream upstream) {
+        long now = mGateway.parts().ticker().nanoTime();
+        long left = mRequest.deadlineNanoseconds() - now;
+        long objective = mRequest.objectiveNanoseconds() - now;
         // Rounded up, so that a short deadline does not become none.
         long milliseconds =
                 Math.max(1, (left + NANOSECONDS_PER_MILLISECOND - 1) / NANOSECONDS_PER_MILLISECOND);
@@ -130,13 +133,20 @@
                 .setMethod(mHead.method())
                 .setPath(mHead.path())
                 .addAllHeaders(HeaderFields.withTrace(mHead.headers(), mHop.traceparent()))
-                .setServiceId(mRequest.route().serviceId())
+                .addHeaders(
+                        HeaderFields.of(
+                                mGateway.parts().headers().callerService().toString(),
+                                mGateway.parts().callerService().get()))
+                .setServiceId(mRequest.serviceId())
                 .setRouteId(mRequest.route().id())
                 .setDeadlineMilliseconds((int) Math.min(Integer.MAX_VALUE, milliseconds))
                 .setIdempotencyKey(mRequest.key() == null ? "" : mRequest.key().text())
                 .setCatalogueNumber(mRequest.snapshot().catalogueVersion().getNumber())
                 .setBodyBytes(mBody.length())
                 .setIdempotent(mRequest.route().isIdempotent())
+                .setInstanceId(upstream.id())
+                .setPriority(mRequest.route().entry().getPriority())
+                .setLatencyObjectiveMilliseconds((int) TimeUnit.NANOSECONDS.toMillis(objective))
                 .build();
     }
 
@@ -159,18 +169,34 @@
         mGateway.parts().decisions().abandoned(mRequest, attempt.mUpstream);
     }
 
+    private void onAnswer(Upstream upstream, Outcome.Answer answer) {
+        boolean repeats =
+                mGateway.parts().decisions().repeatsAnswer(mRequest, upstream, answer.status());
+        if (repeats) {
+            mKeptAnswer = answer;
+            attemptAgain(0);
+            return;
+        }
+        end(answer.status(), null);
+        mListener.onOutcome(answer);
+    }
+
     private void onFailure(Upstream upstream, AttemptFailure failure) {
         RetryDecision next = mGateway.parts().decisions().afterFailure(mRequest, upstream, failure);
         if (!next.isRetry()) {
             fail(next.answer(), next.retryAfterMilliseconds());
             return;
         }
+        attemptAgain(next.delayNanoseconds());
+    }
+
+    private void attemptAgain(long delayNanoseconds) {
         mGateway.parts().metrics().entryRetries().inc();
         // Scheduled even without delay, so that refusals in the same call can't recurse.
         mBackoff =
                 mGateway.parts()
                         .loop()
-                        .schedule(this::retry, next.delayNanoseconds(), TimeUnit.NANOSECONDS);
+                        .schedule(this::retry, delayNanoseconds, TimeUnit.NANOSECONDS);
     }
 
     private void retry() {
@@ -180,6 +206,13 @@
     }
 
     private void fail(ErrorKind kind, int retryAfterMilliseconds) {
+        if (mKeptAnswer != null) {
+            Outcome.Answer answer = mKeptAnswer;
+            mKeptAnswer = null;
+            end(answer.status(), null);
+            mListener.onOutcome(answer);
+            return;
+        }
         mGateway.parts().metrics().countEntryError(kind);
         boolean known = mLastFailure != null && mLastFailure.kind() == kind;
         String message = known ? mLastFailure.message() : ErrorMessages.of(kind);
@@ -196,6 +229,10 @@
         if (mBody != null) {
             mBody.release();
         }
+        if (mKeptAnswer != null) {
+            mKeptAnswer.release();
+            mKeptAnswer = null;
+        }
         mUse.release();
         mGateway.onEnded();
         long duration = mGateway.parts().ticker().nanoTime() - mStartedNanoseconds;
@@ -220,9 +257,7 @@
             }
             mAttempt = null;
             if (outcome instanceof Outcome.Answer answer) {
-                mGateway.parts().decisions().succeeded(mRequest, mUpstream);
-                end(answer.status(), null);
-                mListener.onOutcome(answer);
+                onAnswer(mUpstream, answer);
             } else if (outcome instanceof Outcome.Failure failure) {
                 mLastFailure = failure;
                 onFailure(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
@@ -3,10 +3,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Ticker;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.routing.Decision;
-import org.foxtailmoor.core.routing.EntryDecisions;
 import org.foxtailmoor.core.routing.EntryRequest;
+import org.foxtailmoor.core.routing.RequestDecisions;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.core.routing.Upstream;
@@ -22,19 +24,27 @@
             EventLoop loop,
             Ticker ticker,
             SnapshotReference<RoutingSnapshot> snapshots,
-            EntryDecisions decisions,
+            RequestDecisions decisions,
             Links links,
             Home home,
             HopTracer tracer,
             DataMetrics metrics,
-            BooleanSupplier ready) {}
+            BooleanSupplier ready,
+            HeaderNames headers,
+            Supplier<String> callerService) {}
 
-    private final String mInstanceId;
+    private final Predicate<Upstream> mLocal;
     private final Parts mParts;
     private int mOpenRequests;
 
-    EntryGateway(String instanceId, Parts parts) {
-        mInstanceId = instanceId;
+    /**
+     * Creates a gateway.
+     *
+     * @param local whether an upstream is the node's own
+     * @param parts parts of the node
+     */
+    EntryGateway(Predicate<Upstream> local, Parts parts) {
+        mLocal = local;
         mParts = parts;
     }
 
@@ -59,6 +69,7 @@
                 mParts.decisions()
                         .begin(
                                 use.value(),
+                                head.host(),
                                 head.method(),
                                 head.path(),
                                 head.idempotencyKey(),
@@ -94,7 +105,7 @@
             HeldBody body,
             long deadlineNanoseconds,
             AttemptListener listener) {
-        if (upstream.id().equals(mInstanceId)) {
+        if (mLocal.test(upstream)) {
             return mParts.home().submit(new HomeCall(start, body, deadlineNanoseconds), listener);
         }
         return mParts.links().send(upstream, start, body, listener);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -59,8 +59,11 @@
         return RequestMessage.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)).build();
     }
 
-    static RequestMessage pong(long sequence) {
-        return RequestMessage.newBuilder().setPong(Pong.newBuilder().setSequence(sequence)).build();
+    /** Returns the answer to a ping with the load of the sender's target. */
+    static RequestMessage pong(long sequence, Load load) {
+        return RequestMessage.newBuilder()
+                .setPong(Pong.newBuilder().setSequence(sequence).setLoad(load))
+                .build();
     }
 
     static RequestMessage goingAway() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
@@ -50,11 +50,12 @@
 
     /**
      * Returns the headers that concern the message itself: all but those of the connection, those
-     * that the {@code Connection} header names, the length and the deadline.
+     * that the {@code Connection} header names, the length, and those that the node sets itself.
      *
      * @param headers headers as received, not null
+     * @param names names of the headers that the node sets, not null
      */
-    public static List<Header> endToEnd(HttpHeaders headers) {
+    public static List<Header> endToEnd(HttpHeaders headers, HeaderNames names) {
         Set<String> named = namedByConnection(headers);
         List<Header> kept = new ArrayList<>(headers.size());
         Iterator<Map.Entry<CharSequence, CharSequence>> iterator = headers.iteratorCharSequence();
@@ -64,7 +65,9 @@
             boolean dropped =
                     CONNECTION_HEADERS.contains(name)
                             || named.contains(name)
-                            || DEADLINE.contentEquals(name);
+                            || names.deadline().contentEqualsIgnoreCase(name)
+                            || names.callerService().contentEqualsIgnoreCase(name)
+                            || names.expectedInstance().contentEqualsIgnoreCase(name);
             if (!dropped) {
                 kept.add(of(name, field.getValue().toString()));
             }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeCall.java
@@ -1,6 +1,7 @@
 package org.foxtailmoor.node.data;
 
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
 /**
@@ -15,4 +16,12 @@
         Objects.requireNonNull(start, "start");
         Objects.requireNonNull(body, "body");
     }
+
+    /** Returns the ticker time until which an answer is on time, at most the deadline. */
+    long objectiveNanoseconds() {
+        long between =
+                Integer.toUnsignedLong(start.getDeadlineMilliseconds())
+                        - start.getLatencyObjectiveMilliseconds();
+        return deadlineNanoseconds - TimeUnit.MILLISECONDS.toNanos(Math.max(0, between));
+    }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -9,7 +9,7 @@
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.admission.BodyMemory;
-import org.foxtailmoor.core.home.HomeRequests;
+import org.foxtailmoor.core.home.HomeDecisions;
 import org.foxtailmoor.core.routing.IdempotencyKey;
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
@@ -41,7 +41,7 @@
     private final Parts mParts;
     private final List<HomeTask> mCrashed = new ArrayList<>();
     private RoutingSnapshot mSnapshot;
-    private HomeRequests mRequests;
+    private HomeDecisions mRequests;
     private boolean mLeaving;
 
     HomeGateway(String serviceId, Parts parts) {
@@ -63,7 +63,7 @@
         Route route = mSnapshot.routeById(start.getRouteId());
         IdempotencyKey key = IdempotencyKey.parse(start.getIdempotencyKey());
         String traceparent = HeaderFields.find(start.getHeadersList(), HeaderFields.TRACEPARENT);
-        Hop hop = mParts.tracer().start("home", route.id(), traceparent);
+        Hop hop = mParts.tracer().start("home", start.getRouteId(), traceparent);
         HomeTask task = new HomeTask(this, call, route, key, hop, listener);
         mRequests.accept(task);
         return task::cancel;
@@ -92,7 +92,7 @@
      *
      * @param requests decisions without state, not null
      */
-    void open(HomeRequests requests) {
+    void open(HomeDecisions requests) {
         mRequests = requests;
         if (mSnapshot != null) {
             mRequests.update(mSnapshot, mServiceId);
@@ -148,7 +148,7 @@
         return mParts.target();
     }
 
-    HomeRequests requests() {
+    HomeDecisions requests() {
         return mRequests;
     }
 
@@ -170,19 +170,6 @@
         if (start.getMethod().isEmpty() || !start.getPath().startsWith("/")) {
             return ErrorKind.BAD_REQUEST;
         }
-        if (!start.getServiceId().equals(mServiceId)) {
-            // The entry's instance list has another instance at this address.
-            return ErrorKind.NO_UPSTREAM;
-        }
-        if (mSnapshot.routeById(start.getRouteId()) == null) {
-            long number = mSnapshot.catalogueVersion().getNumber();
-            boolean entryIsAhead = Long.compareUnsigned(start.getCatalogueNumber(), number) > 0;
-            return entryIsAhead ? ErrorKind.NOT_READY : ErrorKind.NO_ROUTE;
-        }
-        boolean keyed = !start.getIdempotencyKey().isEmpty();
-        if (keyed && IdempotencyKey.parse(start.getIdempotencyKey()) == null) {
-            return ErrorKind.KEY_INVALID;
-        }
-        return null;
+        return mRequests.obstacle(start);
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -72,6 +72,16 @@
         return mCall.deadlineNanoseconds();
     }
 
+    @Override
+    public int priority() {
+        return mCall.start().getPriority();
+    }
+
+    @Override
+    public long objectiveNanoseconds() {
+        return mCall.objectiveNanoseconds();
+    }
+
     @Override
     public void dispatch() {
         RequestStart start = mCall.start();
@@ -84,9 +94,10 @@
                                         start.getPath(),
                                         HeaderFields.withTrace(
                                                 start.getHeadersList(), mHop.traceparent()),
+                                        start.getInstanceId(),
                                         mCall.body(),
                                         mCall.deadlineNanoseconds(),
-                                        mRoute.isIdempotent()),
+                                        start.getIdempotent()),
                                 this);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -12,6 +12,7 @@
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.protocol.generated.BodyChunk;
 import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.Pong;
 import org.foxtailmoor.protocol.generated.Refusal;
 import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
@@ -25,11 +26,11 @@
  * belong to requests that have ended and are dropped.
  */
 final class Link extends SimpleChannelInboundHandler<RequestMessage> {
-    /** Interval of pings. */
-    static final long PING_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    /** Interval of pings; each answer also carries the load of the peer's target. */
+    static final long PING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** A link without any frame for this long is closed. */
-    static final long SILENCE_NANOSECONDS = TimeUnit.SECONDS.toNanos(3);
+    static final long SILENCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     /** Most streams that are open on one link at once. */
     static final int MAXIMUM_STREAMS = 1_024;
@@ -42,6 +43,9 @@
         /** Takes the load that the peer reported. */
         void onLoad(Link link, Load load);
 
+        /** Takes the time between a ping and its answer. */
+        void onRoundTrip(Link link, long nanoseconds);
+
         /** Is called when the peer's upstream is leaving. */
         void onGoingAway(Link link);
 
@@ -178,10 +182,10 @@
             case RESPONSE_START -> onResponseStart(message.getStream(), message.getResponseStart());
             case BODY_CHUNK -> onChunk(message.getStream(), message.getBodyChunk());
             case REFUSAL -> onRefusal(message.getStream(), message.getRefusal());
-            case PING -> mChannel.writeAndFlush(Frames.pong(message.getPing().getSequence()));
+            case PONG -> onPong(message.getPong());
             case GOING_AWAY -> mListener.onGoingAway(this);
             default -> {
-                // Pong and hello only prove that the peer is there; later kinds are unknown here.
+                // A hello only proves that the peer is there; later kinds are unknown here.
             }
         }
     }
@@ -223,6 +227,13 @@
         mChannel.writeAndFlush(Frames.cancel(number));
     }
 
+    private void onPong(Pong pong) {
+        mListener.onLoad(this, pong.getLoad());
+        if (pong.getSequence() == mPingSequence) {
+            mListener.onRoundTrip(this, mTicker.nanoTime() - mPingSentNanoseconds);
+        }
+    }
+
     private void onResponseStart(long number, ResponseStart start) {
         mListener.onLoad(this, start.getLoad());
         Stream stream = mStreams.get(number);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -98,7 +98,9 @@
             case REQUEST_START -> onRequestStart(number, message.getRequestStart());
             case BODY_CHUNK -> onChunk(number, message.getBodyChunk());
             case CANCEL -> onCancel(number);
-            case PING -> mChannel.writeAndFlush(Frames.pong(message.getPing().getSequence()));
+            case PING ->
+                    mChannel.writeAndFlush(
+                            Frames.pong(message.getPing().getSequence(), mHome.load()));
             case LINK_HELLO ->
                     mChannel.writeAndFlush(
                             Frames.hello(mServer.instanceId(), mServer.incarnation()));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -28,7 +28,9 @@
     /** A link without requests for this long is closed, so that pings go only to links in use. */
     static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(30);
 
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+    /** A peer whose machine is gone does not answer; waiting work is placed elsewhere after it. */
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 400;
+
     private static final int MAXIMUM_WAITING = 1_024;
 
     /** A request that waits for the link to open. */
@@ -127,6 +129,11 @@
         mLinks.upstreams().reportLoad(mUpstream.id(), load);
     }
 
+    @Override
+    public void onRoundTrip(Link link, long nanoseconds) {
+        mLinks.upstreams().reportRoundTrip(mUpstream.id(), nanoseconds);
+    }
+
     @Override
     public void onGoingAway(Link link) {
         mLeaving = true;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -33,7 +33,10 @@
     static final long MAXIMUM_IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     private static final int MAXIMUM_IDLE_CONNECTIONS = 128;
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+
+    /** The target runs on the same machine, so that a slower answer means that it is gone. */
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
+
     private static final int MAXIMUM_INITIAL_LINE_BYTES = 8_192;
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
     private static final int MAXIMUM_CHUNK_BYTES = 65_536;
@@ -42,12 +45,19 @@
     private final InetSocketAddress mAddress;
     private final BodyMemory mMemory;
     private final Ticker mTicker;
+    private final HeaderNames mNames;
     private final ArrayDeque<TargetConnection> mIdle = new ArrayDeque<>();
     private final Set<TargetConnection> mOpen = new LinkedHashSet<>();
     private final TargetConnection.Pool mPool = new Pool();
 
-    TargetClient(EventLoop loop, InetSocketAddress address, BodyMemory memory, Ticker ticker) {
+    TargetClient(
+            EventLoop loop,
+            InetSocketAddress address,
+            BodyMemory memory,
+            Ticker ticker,
+            HeaderNames names) {
         mLoop = loop;
+        mNames = names;
         mAddress = address;
         mMemory = memory;
         mTicker = ticker;
@@ -118,7 +128,8 @@
     }
 
     private void prepare(Channel channel) {
-        TargetConnection connection = new TargetConnection(channel, mMemory, mTicker, mPool);
+        TargetConnection connection =
+                new TargetConnection(channel, mMemory, mTicker, mNames, mPool);
         channel.pipeline()
                 .addLast(
                         new HttpClientCodec(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetRequest.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetRequest.java
@@ -10,6 +10,7 @@
  * @param method HTTP method
  * @param path path with query
  * @param headers end-to-end headers
+ * @param instanceId target that must run the request, empty for any
  * @param body whole body; owned by the sender, who keeps it until the outcome
  * @param deadlineNanoseconds deadline by the node's ticker
  * @param idempotent whether the request may run more than once
@@ -18,6 +19,7 @@
         String method,
         String path,
         List<Header> headers,
+        String instanceId,
         HeldBody body,
         long deadlineNanoseconds,
         boolean idempotent) {
@@ -25,6 +27,7 @@
         Objects.requireNonNull(method, "method");
         Objects.requireNonNull(path, "path");
         Objects.requireNonNull(headers, "headers");
+        Objects.requireNonNull(instanceId, "instanceId");
         Objects.requireNonNull(body, "body");
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpConfigurationSource.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpConfigurationSource.java
@@ -14,11 +14,12 @@
 public final class HttpConfigurationSource implements ConfigurationSource {
     private static final String PATH = "/v1/values/";
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final String REVISION_HEADER = "Revision";
     private static final int STATUS_OK = 200;
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_FOUND = 404;
 
-    private final PlatformHttpClient mClient;
+    private final HttpGetClient mClient;
 
     /**
      * Creates a source.
@@ -27,7 +28,7 @@
      * @param address address of the platform, not null
      */
     public HttpConfigurationSource(EventLoopGroup loop, InetSocketAddress address) {
-        mClient = new PlatformHttpClient(loop, address);
+        mClient = new HttpGetClient(loop, address);
     }
 
     @Override
@@ -47,10 +48,19 @@
                 .thenApply(response -> value(key, response));
     }
 
-    private static Optional<SourceValue> value(String key, PlatformResponse response) {
+    private static long revisionOf(HttpAnswer response) {
+        try {
+            return Long.parseUnsignedLong(response.headers().get(REVISION_HEADER, "0"));
+        } catch (NumberFormatException e) {
+            throw FoxtailmoorException.of(
+                    ErrorKind.PLATFORM_UNAVAILABLE, "bad Revision header in an answer", e);
+        }
+    }
+
+    private static Optional<SourceValue> value(String key, HttpAnswer response) {
         switch (response.status()) {
             case STATUS_OK:
-                return Optional.of(new SourceValue(response.revision(), response.body()));
+                return Optional.of(new SourceValue(revisionOf(response), response.body()));
             case STATUS_NO_CONTENT:
             case STATUS_NOT_FOUND:
                 return Optional.empty();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpInstanceList.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpInstanceList.java
@@ -17,7 +17,7 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_NO_CONTENT = 204;
 
-    private final PlatformHttpClient mClient;
+    private final HttpGetClient mClient;
     private final InstanceListingParser mParser = new InstanceListingParser();
 
     /**
@@ -27,7 +27,7 @@
      * @param address address of the platform, not null
      */
     public HttpInstanceList(EventLoopGroup loop, InetSocketAddress address) {
-        mClient = new PlatformHttpClient(loop, address);
+        mClient = new HttpGetClient(loop, address);
     }
 
     @Override
@@ -51,7 +51,7 @@
                                         : Optional.of(listing(response)));
     }
 
-    private InstanceListing listing(PlatformResponse response) {
+    private InstanceListing listing(HttpAnswer response) {
         if (response.status() != STATUS_OK) {
             throw FoxtailmoorException.of(
                     ErrorKind.PLATFORM_UNAVAILABLE, "instance list answered " + response.status());
