Log decisions about requests; leave room for variance in the queue before an objective

Cause: the queue admitted work up to the objective less one mean service time, so under overload every admitted request stood at the edge and half of the variance ended late. Ruled out: idle slots (utilisation was full).

Lines of decisions go to standard output in batches, never blocking, bounded by rates of their own, and what is left out is counted.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
@@ -25,6 +25,12 @@
     /** Work that has missed its objective and waits is at most this part of the slots. */
     public static final double LATE_WAITING_SHARE = 0.5;
 
+    /**
+     * Service times that must be left after the wait. Under overload the queue is always as long as
+     * this allows, and with a single mean left, half of what runs would end late.
+     */
+    public static final double WAITING_MARGIN = 2;
+
     private static final int SHORTEST_RETRY_AFTER_MILLISECONDS = 50;
     private static final int LONGEST_RETRY_AFTER_MILLISECONDS = 5_000;
     private static final double FAILURE_SAMPLE_SHARE = 0.1;
@@ -99,7 +105,7 @@
             work.refuse(ErrorKind.OVERLOADED, retryAfterMilliseconds(wait));
             return;
         }
-        boolean late = isLateAt(work, now + wait + service);
+        boolean late = isLateAt(work, now + wait + (long) (service * WAITING_MARGIN));
         if (late && mLate >= mSlots * LATE_WAITING_SHARE) {
             work.refuse(ErrorKind.OVERLOADED, retryAfterMilliseconds(wait));
             return;
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
@@ -0,0 +1,166 @@
+package org.foxtailmoor.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.TrafficShare;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PlacementDecisionsTest {
+    private final MockTicker mTicker = Ticker.newMockTicker();
+    private final UpstreamTable mTable = UpstreamTable.of(mTicker);
+    private final Random mRandom = new Random(9);
+    private final PlacementDecisions mDecisions =
+            PlacementDecisions.of(
+                    mTicker,
+                    mTable,
+                    ExpectedWaitBalancer.of(mTable, mRandom, "doo", "sapporo-a"),
+                    new TrafficSplitter(mRandom),
+                    SharedRetryBudget.of(mTicker, 0.2, 30));
+    private final RoutingSnapshot mSnapshot =
+            new Fleet()
+                    .service("s", 10)
+                    .service("t", 10)
+                    .route(
+                            "read",
+                            "s",
+                            "GET",
+                            "/",
+                            entry -> entry.setIdempotent(true).setAttempts(2))
+                    .route("order", "s", "POST", "/", entry -> entry.setAttempts(2))
+                    .route("split", "s", "PUT", "/", PlacementDecisionsTest::split)
+                    .route("hosted", "t", "*", "/a/", entry -> entry.setHost("shop.example"))
+                    .upstreams("s", "doo", "sapporo-a", "u1", "u2", "u3")
+                    .build(1, 1);
+
+    private static void split(org.foxtailmoor.protocol.generated.RouteEntry.Builder entry) {
+        entry.addSplit(TrafficShare.newBuilder().setServiceId("s").setWeight(90));
+        entry.addSplit(TrafficShare.newBuilder().setServiceId("t").setWeight(10));
+    }
+
+    private EntryRequest begin(String method) {
+        return mDecisions.begin(mSnapshot, "", method, "/x", null, 0, 0).value();
+    }
+
+    private RetryDecision fail(EntryRequest request, AttemptFailure failure) {
+        return mDecisions.afterFailure(request, mDecisions.choose(request).value(), failure);
+    }
+
+    private static AttemptFailure refused(ErrorKind kind) {
+        return AttemptFailure.refused(kind, 0);
+    }
+
+    @Nested
+    class Routing {
+        @Test
+        void routeOfTheHostGoesBeforeOneOfAnyHost() {
+            assertThat(mSnapshot.route("Shop.example", "GET", "/a/x").id()).isEqualTo("hosted");
+            assertThat(mSnapshot.route("other.example", "GET", "/a/x").id()).isEqualTo("read");
+        }
+
+        /** Guards against a share of the requests that differs from the operators' weights. */
+        @Test
+        void splitFollowsItsWeights() {
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = 0; i < 1_000; i++) {
+                counts.merge(begin("PUT").serviceId(), 1, Integer::sum);
+            }
+            assertThat(counts.get("t")).isBetween(98, 102);
+        }
+
+        /** Guards against a part without room whose requests go to the other part. */
+        @Test
+        void partOfASplitWithoutUpstreamIsRefusedRatherThanMoved() {
+            EntryRequest request = begin("PUT");
+            while (!request.serviceId().equals("t")) {
+                request = begin("PUT");
+            }
+            assertThat(mDecisions.choose(request).refusal()).isEqualTo(ErrorKind.NO_UPSTREAM);
+        }
+    }
+
+    @Nested
+    class Repeats {
+        /** Guards against a second run of an order. */
+        @Test
+        void orderIsNeverRepeatedOnceItMayHaveRun() {
+            RetryDecision lost = fail(begin("POST"), AttemptFailure.lostLink());
+            assertThat(lost.answer()).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+            assertThat(ErrorKind.UPSTREAM_FAILED.isNotRun()).isFalse();
+        }
+
+        @Test
+        void refusalsOfNodesCostNoBudget() {
+            for (int i = 0; i < 500; i++) {
+                EntryRequest request = begin("POST");
+                assertThat(fail(request, refused(ErrorKind.OVERLOADED)).isRetry()).isTrue();
+                assertThat(fail(request, refused(ErrorKind.OVERLOADED)).isRetry()).isTrue();
+            }
+        }
+
+        /** Guards against repeats that multiply the load on targets that refuse. */
+        @Test
+        void repeatsThatReachTargetsStayWithinTheBudget() {
+            int repeats = 0;
+            int requests = 1_000;
+            for (int i = 0; i < requests; i++) {
+                EntryRequest request = begin("GET");
+                repeats += fail(request, refused(ErrorKind.UPSTREAM_REJECTED)).isRetry() ? 1 : 0;
+            }
+            assertThat(repeats).isLessThanOrEqualTo((int) (requests * 0.2 + 30.0 / 3));
+            assertThat(repeats).isPositive();
+        }
+
+        @Test
+        void attemptsOfTheRouteBoundTheUpstreamsThatRunARequest() {
+            EntryRequest request = begin("GET");
+            assertThat(fail(request, AttemptFailure.lostLink()).isRetry()).isTrue();
+            assertThat(fail(request, AttemptFailure.lostLink()).isRetry()).isFalse();
+        }
+
+        /** Guards against a false "not run" after an attempt that may have run. */
+        @Test
+        void refusalAfterAnAttemptThatMayHaveRunDoesNotSayNotRun() {
+            EntryRequest request = begin("GET");
+            fail(request, AttemptFailure.lostLink());
+            mTicker.advance(20, TimeUnit.SECONDS);
+            assertThat(mDecisions.choose(request).refusal().isNotRun()).isFalse();
+        }
+
+        @Test
+        void failureAnswerIsRepeatedForIdempotentRequestsOnly() {
+            EntryRequest read = begin("GET");
+            assertThat(mDecisions.repeatsAnswer(read, mDecisions.choose(read).value(), 500))
+                    .isTrue();
+            EntryRequest order = begin("POST");
+            assertThat(mDecisions.repeatsAnswer(order, mDecisions.choose(order).value(), 500))
+                    .isFalse();
+        }
+    }
+
+    @Nested
+    class Budget {
+        /** Guards against a fleet whose nodes together exceed the budget of a service. */
+        @Test
+        void sharesOfAllNodesStayBelowTheLimit() {
+            int nodes = 13;
+            double spent = 0;
+            for (int node = 0; node < nodes; node++) {
+                SharedRetryBudget budget = SharedRetryBudget.of(mTicker, 0.2, 56);
+                budget.resize(nodes);
+                for (int i = 0; i < 100; i++) {
+                    budget.requestStarted("s");
+                    spent += budget.tryTake("s") ? 1 : 0;
+                }
+            }
+            assertThat(spent).isLessThan(0.2 * nodes * 100 + 56);
+        }
+    }
+}
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/PublishedStateTest.java
@@ -0,0 +1,127 @@
+package org.foxtailmoor.core.source;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.protocol.generated.ClassEntry;
+import org.foxtailmoor.protocol.generated.Entry;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.RouteEntry;
+import org.foxtailmoor.protocol.generated.ServiceEntry;
+import org.junit.jupiter.api.Test;
+
+class PublishedStateTest {
+    private final List<String> mUnreadable = new ArrayList<>();
+    private final PublishedState mState = new PublishedState(new LineDecoder(), new Events());
+
+    /** Decodes "catalogue PREFIX" and "target SERVICE ADDRESS". */
+    private static final class LineDecoder implements ItemDecoder {
+        @Override
+        public Content decode(StoreItem item) {
+            String[] words = item.value().toStringUtf8().split(" ");
+            switch (words[0]) {
+                case "catalogue":
+                    return new Content.Catalogue(words[1], entries(words[1]));
+                case "target":
+                    return new Content.Target(
+                            Instance.newBuilder()
+                                    .setId(item.key())
+                                    .setServiceId(words[1])
+                                    .setAddress(words[2])
+                                    .setNodePort(1)
+                                    .build());
+                default:
+                    throw FoxtailmoorException.of(ErrorKind.CATALOGUE_INVALID, "no such word");
+            }
+        }
+
+        private static List<Entry> entries(String prefix) {
+            return List.of(
+                    Entry.newBuilder()
+                            .setId("c")
+                            .setClassEntry(ClassEntry.getDefaultInstance())
+                            .build(),
+                    Entry.newBuilder()
+                            .setId("s")
+                            .setServiceEntry(ServiceEntry.getDefaultInstance())
+                            .build(),
+                    Entry.newBuilder()
+                            .setId("r")
+                            .setClassId("c")
+                            .setRouteEntry(
+                                    RouteEntry.newBuilder()
+                                            .setServiceId("s")
+                                            .setMethod("*")
+                                            .setPathPrefix(prefix))
+                            .build());
+        }
+    }
+
+    private final class Events implements PublishedState.Listener {
+        @Override
+        public void onCatalogue(String label, long revision) {}
+
+        @Override
+        public void onInstance(Instance instance, long revision) {}
+
+        @Override
+        public void onInstanceGone(String key) {}
+
+        @Override
+        public void onUnreadable(String key, long revision, String reason) {
+            mUnreadable.add(key);
+        }
+    }
+
+    private boolean put(String key, long revision, String value) {
+        return mState.update(key, new StoreItem(key, revision, ByteString.copyFromUtf8(value)));
+    }
+
+    @Test
+    void unreadableCatalogueLeavesTheLastGoodOneInForce() {
+        assertThat(put("config", 3, "catalogue /a/")).isTrue();
+        assertThat(put("config", 5, "nonsense")).isFalse();
+        assertThat(mUnreadable).containsExactly("config");
+        assertThat(mState.snapshot().route("GET", "/a/x")).isNotNull();
+        assertThat(mState.snapshot().catalogueVersion().getNumber()).isEqualTo(3);
+    }
+
+    /** Guards against one broken entry of another writer that hides the others. */
+    @Test
+    void unreadableInstanceNamesNoTargetAndHoldsUpNoOther() {
+        put("config", 3, "catalogue /a/");
+        assertThat(put("good", 4, "target s 10.0.0.1")).isTrue();
+        assertThat(put("bad", 5, "target s 10.0.0.2")).isTrue();
+        assertThat(put("bad", 6, "nonsense")).isTrue();
+        assertThat(mState.snapshot().service("s").upstreams())
+                .extracting(upstream -> upstream.id())
+                .containsExactly("good");
+    }
+
+    /** Guards against requests to an address that was given to another service. */
+    @Test
+    void addressBelongsToTheInstanceThatWasWrittenLast() {
+        put("config", 3, "catalogue /a/");
+        put("new", 9, "target s 10.0.0.1");
+        put("old", 4, "target s 10.0.0.1");
+        RoutingSnapshot snapshot = mState.snapshot();
+        assertThat(snapshot.upstreamAt("10.0.0.1", 1).id()).isEqualTo("new");
+        assertThat(snapshot.service("s").upstreams()).hasSize(1);
+    }
+
+    @Test
+    void everySnapshotIsNewerThanTheLast() {
+        put("config", 3, "catalogue /a/");
+        RoutingSnapshot first = mState.snapshot();
+        assertThat(put("config", 3, "catalogue /b/")).as("not newer").isFalse();
+        put("config", 4, "catalogue /b/");
+        RoutingSnapshot second = mState.snapshot();
+        assertThat(second.isNewerThan(first)).isTrue();
+        assertThat(second.route("GET", "/a/x")).isNull();
+    }
+}
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
@@ -27,6 +27,7 @@
     protected int run() {
         NodeSettings settings = NodeSettings.of(mSettings);
         // Read by JsonLogConfigurator, so that it must be set before the first logger is created.
+        System.setProperty(JsonLogConfigurator.OUTPUT_PROPERTY, JsonLogConfigurator.OUTPUT_BATCH);
         System.setProperty(LOG_LEVEL_PROPERTY, settings.log().level().toUpperCase(Locale.ROOT));
         Node node = Node.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -81,6 +81,7 @@
             DataPolicies policies) {}
 
     private final Parts mParts;
+    private final DecisionLog mLog;
     private final EpochClock mClock;
     private final UpstreamTable mUpstreams;
     private final DataPolicies.Context mContext;
@@ -108,6 +109,7 @@
         HeaderNames headers = parts.policies().headers();
         BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
         DataMetrics metrics = new DataMetrics(parts.metrics());
+        mLog = new DecisionLog(ticker);
         mClock = EpochClock.of(ticker, parts.timeOfDay().getAsLong());
         mUpstreams = UpstreamTable.of(ticker);
         mGuard = CrashGuard.of(ticker, node.service(), node.id());
@@ -131,7 +133,9 @@
                                 mTarget,
                                 mAdmission,
                                 parts.tracer(),
-                                metrics));
+                                metrics,
+                                headers,
+                                mLog));
         mLinks =
                 new Links(parts.loop(), node.id(), parts.incarnation(), memory, ticker, mUpstreams);
         mEntry =
@@ -148,7 +152,8 @@
                                 metrics,
                                 () -> mReady,
                                 headers,
-                                () -> parts.policies().callerService(node)));
+                                () -> parts.policies().callerService(node),
+                                mLog));
         mCallers = new CallerServer(mEntry, memory);
         mLinkServer = new LinkServer(node.id(), parts.incarnation(), mHome, memory, ticker);
         mDrain = new DataDrain(ticker, mHome, mEntry, mCallers, mLinkServer, mLinks);
@@ -344,6 +349,7 @@
         mSlowTicks++;
         if (mSlowTicks % SLOW_TICKS_PER_SECOND == 0) {
             mCallers.tick();
+            mLog.tick();
             mClock.adjust(mParts.timeOfDay().getAsLong());
         }
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -32,6 +32,7 @@
     private final long mStartedNanoseconds;
     private HeldBody mBody;
     private Attempt mAttempt;
+    private Upstream mLastUpstream;
     private ScheduledFuture<?> mDeadline;
     private ScheduledFuture<?> mBackoff;
     private Outcome.Failure mLastFailure;
@@ -112,6 +113,7 @@
         }
         Attempt attempt = new Attempt(chosen.value());
         mAttempt = attempt;
+        mLastUpstream = chosen.value();
         Cancellable cancellation =
                 mGateway.send(
                         chosen.value(),
@@ -182,6 +184,8 @@
     }
 
     private void onFailure(Upstream upstream, AttemptFailure failure) {
+        String cause = mLastFailure == null ? "the link was lost" : mLastFailure.message();
+        mGateway.parts().log().attemptFailed(mHead, mRequest, upstream, failure.kind(), cause);
         RetryDecision next = mGateway.parts().decisions().afterFailure(mRequest, upstream, failure);
         if (!next.isRetry()) {
             fail(next.answer(), next.retryAfterMilliseconds());
@@ -237,6 +241,7 @@
         mGateway.onEnded();
         long duration = mGateway.parts().ticker().nanoTime() - mStartedNanoseconds;
         mGateway.parts().metrics().entryDuration().update(duration, TimeUnit.NANOSECONDS);
+        mGateway.parts().log().ended(mHead, mRequest, mLastUpstream, status, kind, duration);
         mHop.end(status, kind == null ? null : kind.name());
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
@@ -31,7 +31,8 @@
             DataMetrics metrics,
             BooleanSupplier ready,
             HeaderNames headers,
-            Supplier<String> callerService) {}
+            Supplier<String> callerService,
+            DecisionLog log) {}
 
     private final Predicate<Upstream> mLocal;
     private final Parts mParts;
@@ -59,10 +60,10 @@
     Decision<EntryCall> begin(EntryHead head, long bodyBytes, OutcomeListener listener) {
         mParts.metrics().entryRequests().inc();
         if (!mParts.ready().getAsBoolean()) {
-            return refuse(ErrorKind.NOT_READY);
+            return refuse(head, ErrorKind.NOT_READY);
         }
         if (mOpenRequests >= MAXIMUM_REQUESTS) {
-            return refuse(ErrorKind.OVERLOADED);
+            return refuse(head, ErrorKind.OVERLOADED);
         }
         SnapshotReference.Use<RoutingSnapshot> use = mParts.snapshots().acquire();
         Decision<EntryRequest> begun =
@@ -77,7 +78,7 @@
                                 head.deadlineMilliseconds());
         if (begun.isRefused()) {
             use.release();
-            return refuse(begun.refusal());
+            return refuse(head, begun.refusal());
         }
         mOpenRequests++;
         EntryCall call = new EntryCall(this, head, begun.value(), use, listener);
@@ -111,7 +112,8 @@
         return mParts.links().send(upstream, start, body, listener);
     }
 
-    private Decision<EntryCall> refuse(ErrorKind kind) {
+    private Decision<EntryCall> refuse(EntryHead head, ErrorKind kind) {
+        mParts.log().refused(head, kind);
         mParts.metrics().countEntryError(kind);
         return Decision.refused(kind);
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -35,7 +35,9 @@
             TargetClient target,
             AdmissionPolicy admission,
             HopTracer tracer,
-            DataMetrics metrics) {}
+            DataMetrics metrics,
+            HeaderNames headers,
+            DecisionLog log) {}
 
     private final String mServiceId;
     private final Parts mParts;
@@ -56,6 +58,7 @@
         ErrorKind refusal = check(start);
         if (refusal != null) {
             call.body().release();
+            onFailed(start, refusal, "the request can't be taken here");
             mParts.metrics().countHomeRefusal(refusal);
             listener.onOutcome(Outcome.Failure.of(refusal, ErrorMessages.of(refusal)));
             return Cancellable.NONE;
@@ -140,6 +143,11 @@
         return BodyCollector.of(mParts.memory(), mParts.allocator(), bytes, bytes);
     }
 
+    /** Logs a request that gets no answer from here. */
+    void onFailed(RequestStart start, ErrorKind kind, String cause) {
+        mParts.log().homeFailed(start, mParts.headers(), load(), kind, cause);
+    }
+
     Ticker ticker() {
         return mParts.ticker();
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -185,6 +185,7 @@
         long duration = mHome.ticker().nanoTime() - mStartedNanoseconds;
         mHome.metrics().homeDuration().update(duration, TimeUnit.NANOSECONDS);
         if (outcome instanceof Outcome.Failure failure) {
+            mHome.onFailed(mCall.start(), failure.kind(), failure.message());
             mHop.end(failure.kind().status(), failure.kind().name());
         } else if (outcome instanceof Outcome.Answer answer) {
             mHop.end(answer.status(), null);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -40,6 +41,16 @@
             }
         }
 
+        /** Ends the connection with a reset. */
+        void resetConnection() {
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                throw new IllegalStateException(e);
+            }
+            closeConnection();
+        }
+
         void closeConnection() {
             try {
                 socket.close();
