--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Balancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Balancer.java
@@ -10,7 +10,12 @@
      * @param snapshot routing snapshot that the request uses, not null
      * @param service service of the request, not null
      * @param excluded ids of upstreams that already refused or failed the request, not null
+     * @param bodyBytes length of the request's body, at least 0
      * @return the upstream, or null if no upstream may be used
      */
-    Upstream choose(RoutingSnapshot snapshot, ServiceView service, Collection<String> excluded);
+    Upstream choose(
+            RoutingSnapshot snapshot,
+            ServiceView service,
+            Collection<String> excluded,
+            long bodyBytes);
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -75,7 +75,9 @@
         ServiceView service = request.snapshot().service(request.route().serviceId());
         Upstream chosen;
         if (request.key() == null) {
-            chosen = mBalancer.choose(request.snapshot(), service, request.tried());
+            chosen =
+                    mBalancer.choose(
+                            request.snapshot(), service, request.tried(), request.bodyBytes());
         } else {
             chosen = reachableHome(service, request.key());
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
@@ -19,6 +19,7 @@
     private final long mDeadlineNanoseconds;
     private final long mObjectiveNanoseconds;
     private final List<String> mTried = new ArrayList<>(2);
+    private long mBodyBytes;
     private int mAttempts;
     private int mArrivals;
     private boolean mMayHaveRun;
@@ -88,6 +89,16 @@
         return Collections.unmodifiableList(mTried);
     }
 
+    /** Returns the length of the body, 0 until it is known. */
+    public long bodyBytes() {
+        return mBodyBytes;
+    }
+
+    /** Sets the length of the body, when the whole body has arrived. */
+    public void setBodyBytes(long bodyBytes) {
+        mBodyBytes = bodyBytes;
+    }
+
     /** Returns the number of attempts that reached a target, whether it ran them or not. */
     public int arrivals() {
         return mArrivals;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
@@ -38,6 +38,20 @@
      */
     private static final double CONGESTION_COST = 0.5;
 
+    /**
+     * Wait that a kilobyte between zones is worth. Transfer between zones is paid by volume; a
+     * photograph is placed in its own zone until the wait there endangers its objective.
+     */
+    private static final double ZONE_NANOSECONDS_PER_KILOBYTE = TimeUnit.MILLISECONDS.toNanos(2);
+
+    /** See above; the link between regions costs about three times as much and is narrow. */
+    private static final double REGION_NANOSECONDS_PER_KILOBYTE = TimeUnit.MILLISECONDS.toNanos(6);
+
+    /** Heads and an answer of the usual size. */
+    private static final double FIXED_KILOBYTES = 1;
+
+    private static final double BYTES_PER_KILOBYTE = 1_000;
+
     /** Spread of the random factor that keeps nodes with equal reports from the same choice. */
     private static final double JITTER = 0.1;
 
@@ -69,13 +83,16 @@
 
     @Override
     public Upstream choose(
-            RoutingSnapshot snapshot, ServiceView service, Collection<String> excluded) {
-        Upstream chosen = cheapest(service, excluded, false);
-        return chosen == null ? cheapest(service, excluded, true) : chosen;
+            RoutingSnapshot snapshot,
+            ServiceView service,
+            Collection<String> excluded,
+            long bodyBytes) {
+        Upstream chosen = cheapest(service, excluded, bodyBytes, false);
+        return chosen == null ? cheapest(service, excluded, bodyBytes, true) : chosen;
     }
 
     private Upstream cheapest(
-            ServiceView service, Collection<String> excluded, boolean withAvoided) {
+            ServiceView service, Collection<String> excluded, long bodyBytes, boolean withAvoided) {
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
         for (Upstream upstream : service.upstreams()) {
@@ -90,6 +107,7 @@
                 continue;
             }
             double cost = cost(upstream, row) * (1 + JITTER * mRandom.nextDouble());
+            cost += transferCost(upstream, bodyBytes);
             if (cost < bestCost) {
                 best = upstream;
                 bestCost = cost;
@@ -113,6 +131,15 @@
         return roundTrip(upstream, row) + wait + service * (1 + congestion + failures);
     }
 
+    /** Returns what the way of the body costs, in nanoseconds of wait that it is worth. */
+    private double transferCost(Upstream upstream, long bodyBytes) {
+        double kilobytes = FIXED_KILOBYTES + bodyBytes / BYTES_PER_KILOBYTE;
+        if (!upstream.region().equals(mRegion)) {
+            return kilobytes * REGION_NANOSECONDS_PER_KILOBYTE;
+        }
+        return upstream.zone().equals(mZone) ? 0 : kilobytes * ZONE_NANOSECONDS_PER_KILOBYTE;
+    }
+
     private long roundTrip(Upstream upstream, UpstreamRow row) {
         if (row.mRoundTripNanoseconds > 0) {
             return row.mRoundTripNanoseconds;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
@@ -96,7 +96,11 @@
         // A later list may know targets that the request's own list does not, and the reverse.
         ServiceView current = mSnapshot.service(request.serviceId());
         Upstream chosen =
-                mBalancer.choose(mSnapshot, current == null ? service : current, request.tried());
+                mBalancer.choose(
+                        mSnapshot,
+                        current == null ? service : current,
+                        request.tried(),
+                        request.bodyBytes());
         if (chosen == null) {
             return Decision.refused(truthful(request, ErrorKind.NO_UPSTREAM));
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/TwoChoicesBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/TwoChoicesBalancer.java
@@ -54,7 +54,10 @@
 
     @Override
     public Upstream choose(
-            RoutingSnapshot snapshot, ServiceView service, Collection<String> excluded) {
+            RoutingSnapshot snapshot,
+            ServiceView service,
+            Collection<String> excluded,
+            long bodyBytes) {
         for (Filter filter : FILTERS) {
             Upstream chosen = chooseByScope(snapshot, service, excluded, filter);
             if (chosen != null) {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
@@ -50,10 +50,15 @@
     }
 
     private Map<String, Integer> choose(String... excluded) {
+        return chooseFor(0, excluded);
+    }
+
+    private Map<String, Integer> chooseFor(long bodyBytes, String... excluded) {
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < 100; i++) {
             Upstream upstream =
-                    mBalancer.choose(mSnapshot, mSnapshot.service("s"), List.of(excluded));
+                    mBalancer.choose(
+                            mSnapshot, mSnapshot.service("s"), List.of(excluded), bodyBytes);
             counts.merge(upstream == null ? "none" : upstream.id(), 1, Integer::sum);
         }
         return counts;
@@ -88,6 +93,15 @@
         assertThat(choose()).containsOnlyKeys("region");
     }
 
+    /** Guards against uploads that are paid for between zones although their own zone has room. */
+    @Test
+    void largeBodyStaysInItsZoneUntilTheWaitThereIsLong() {
+        report("near", 9, 60, 0);
+        assertThat(chooseFor(60_000)).containsOnlyKeys("near");
+        report("near", 40, 60, 0);
+        assertThat(chooseFor(60_000)).containsOnlyKeys("region");
+    }
+
     @Test
     void excludedAndLeavingUpstreamsAreNotChosen() {
         mTable.markLeaving("region");
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/TwoChoicesBalancerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/TwoChoicesBalancerTest.java
@@ -39,7 +39,7 @@
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < times; i++) {
             Upstream upstream =
-                    mBalancer.choose(mSnapshot, mSnapshot.service("s"), List.of(excluded));
+                    mBalancer.choose(mSnapshot, mSnapshot.service("s"), List.of(excluded), 0);
             counts.merge(upstream == null ? "none" : upstream.id(), 1, Integer::sum);
         }
         return counts;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -92,6 +92,7 @@
      */
     void run(HeldBody body) {
         mBody = body;
+        mRequest.setBodyBytes(body.length());
         attempt();
     }
 
