--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -152,6 +152,12 @@
         return mEnded;
     }
 
+    /** Stops the node at once; open requests are cut. */
+    public void close() {
+        closeAll();
+        mEnded.complete(null);
+    }
+
     private void open() {
         NodeSettings.NodeSection node = mParts.settings().node();
         mData =
