Probe failed links, doubt silent ones, and end a shutdown sooner

Cause: an upstream whose node restarts was avoided for up to 35 s after its notice and up to 10 s after failures, and each look at a dead node cost a request 400 ms.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/AvoidanceSystem.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/AvoidanceSystem.java
@@ -7,14 +7,18 @@
     /** Time to avoid an upstream after its first failure. */
     static final long FIRST_AVOIDANCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    /** Longest time to avoid an upstream after failures. */
-    static final long LONGEST_AVOIDANCE_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+    /**
+     * Longest time to avoid an upstream after failures. The link is probed meanwhile, so that no
+     * request pays for finding out.
+     */
+    static final long LONGEST_AVOIDANCE_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
 
     /**
-     * Time to avoid an upstream that said it is leaving. A shutdown takes at most 30 s; a process
-     * that restarts under the same id takes work again.
+     * Time to avoid an upstream that said it is leaving. One that is still leaving afterwards says
+     * so again when it refuses, which costs a round trip; a process that has restarted under the
+     * same id takes work again.
      */
-    static final long LEAVING_NANOSECONDS = TimeUnit.SECONDS.toNanos(35);
+    static final long LEAVING_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
 
     private static final int LARGEST_SHIFT = 5;
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
@@ -101,7 +101,7 @@
                     row != null
                             && !upstream.leaving()
                             && !row.mLeaving
-                            && (withAvoided || !row.mAvoided)
+                            && (withAvoided || isReachable(row))
                             && !excluded.contains(upstream.id());
             if (!usable) {
                 continue;
@@ -116,6 +116,12 @@
         return best;
     }
 
+    private static boolean isReachable(UpstreamRow row) {
+        return !row.mAvoided
+                && row.mLinkState != LinkState.FAILED
+                && row.mLinkState != LinkState.DOUBTFUL;
+    }
+
     /** Returns the time until the answer of one more request, in nanoseconds. */
     private double cost(Upstream upstream, UpstreamRow row) {
         double service =
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/LinkState.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/LinkState.java
@@ -6,6 +6,8 @@
     UNOPENED,
     /** The link is open. */
     OPEN,
-    /** The last attempt to open or use a link failed; the upstream is avoided for a time. */
+    /** The link is open, but the peer has not answered a ping in time; used only without choice. */
+    DOUBTFUL,
+    /** The link ended or could not be opened; used only without choice until one opens again. */
     FAILED
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
@@ -164,7 +164,11 @@
         if (row == null) {
             return;
         }
-        if (state == LinkState.OPEN && row.mLinkState != LinkState.OPEN) {
+        boolean opened =
+                state == LinkState.OPEN
+                        && row.mLinkState != LinkState.OPEN
+                        && row.mLinkState != LinkState.DOUBTFUL;
+        if (opened) {
             row.mLeaving = false;
             row.mAvoided = false;
         }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
@@ -24,9 +24,10 @@
 
     /**
      * Time that other nodes have to close their links to this node when nothing is open. They do so
-     * as soon as they have the last answer, which can take seconds over a link between regions.
+     * as soon as they have the last answer; it was handed to the system before and is not lost when
+     * the process ends.
      */
-    private static final long LINK_CLOSE_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+    private static final long LINK_CLOSE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private enum Step {
         SERVING,
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -27,7 +27,7 @@
  */
 final class Link extends SimpleChannelInboundHandler<RequestMessage> {
     /** Interval of pings; each answer also carries the load of the peer's target. */
-    static final long PING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+    static final long PING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
 
     /** A link without any frame for this long is closed. */
     static final long SILENCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_500);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
@@ -21,6 +21,7 @@
     private final UpstreamTable mUpstreams;
     private final Map<String, Peer> mPeers = new HashMap<>();
     private final List<Peer> mRetired = new ArrayList<>();
+    private boolean mClosing;
 
     Links(
             EventLoop loop,
@@ -77,8 +78,14 @@
         return mPeers.size();
     }
 
+    /** Returns whether no link is opened any more without a request that needs it. */
+    boolean isClosing() {
+        return mClosing;
+    }
+
     /** Closes every link; open requests fail. */
     void close() {
+        mClosing = true;
         new ArrayList<>(mPeers.values()).forEach(Peer::close);
         mRetired.forEach(Peer::close);
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -23,7 +23,7 @@
  */
 final class Peer implements Link.Listener {
     /** Time without an answer to a ping after which a link is doubted. */
-    static final long OVERTAKING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+    static final long OVERTAKING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
 
     /** A link without requests for this long is closed, so that pings go only to links in use. */
     static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(30);
@@ -31,6 +31,12 @@
     /** A peer whose machine is gone does not answer; waiting work is placed elsewhere after it. */
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 400;
 
+    /** Interval in which a failed link is tried again without a request that needs it. */
+    private static final long PROBE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
+
+    /** A peer that was not reached for this long is tried again only for a request. */
+    private static final long PROBING_NANOSECONDS = TimeUnit.SECONDS.toNanos(20);
+
     private static final int MAXIMUM_WAITING = 1_024;
 
     /** A request that waits for the link to open. */
@@ -56,6 +62,9 @@
     private boolean mConnecting;
     private boolean mRetired;
     private boolean mLeaving;
+    private boolean mFailed;
+    private long mFailedNanoseconds;
+    private long mProbedNanoseconds;
     private long mUsedNanoseconds;
 
     Peer(Links links, Upstream upstream) {
@@ -76,7 +85,7 @@
 
     /** Returns whether there is neither a link nor an attempt to open one. */
     boolean isUnused() {
-        return mOpen.isEmpty() && !mConnecting;
+        return mOpen.isEmpty() && !mConnecting && !isProbing();
     }
 
     /** Sends a request over the current link, or when the link is open. */
@@ -109,6 +118,9 @@
             overtake();
         }
         closeDrained();
+        if (mCurrent == null && !mConnecting && isProbing() && isProbeDue()) {
+            connect();
+        }
     }
 
     /** Lets the links end after their open requests; used when the upstream has moved. */
@@ -149,10 +161,31 @@
         if (link == mCurrent) {
             mCurrent = mChallenger;
             mChallenger = null;
+            if (failed && mCurrent == null) {
+                markFailed();
+            }
             mLinks.upstreams().setLinkState(mUpstream.id(), stateAfter(failed));
         }
     }
 
+    private void markFailed() {
+        if (!mFailed) {
+            mFailed = true;
+            mFailedNanoseconds = mLinks.ticker().nanoTime();
+        }
+    }
+
+    private boolean isProbing() {
+        return mFailed
+                && !mRetired
+                && !mLinks.isClosing()
+                && mLinks.ticker().nanoTime() - mFailedNanoseconds < PROBING_NANOSECONDS;
+    }
+
+    private boolean isProbeDue() {
+        return mLinks.ticker().nanoTime() - mProbedNanoseconds >= PROBE_NANOSECONDS;
+    }
+
     private LinkState stateAfter(boolean failed) {
         if (mCurrent != null) {
             return LinkState.OPEN;
@@ -177,9 +210,11 @@
     private void overtake() {
         if (mChallenger == null) {
             boolean doubtful = mCurrent.isUnansweredFor(OVERTAKING_NANOSECONDS);
-            if (doubtful && !mConnecting) {
+            if (doubtful && !mConnecting && isProbeDue()) {
                 connect();
             }
+            mLinks.upstreams()
+                    .setLinkState(mUpstream.id(), doubtful ? LinkState.DOUBTFUL : LinkState.OPEN);
             return;
         }
         if (!mCurrent.isUnansweredFor(0)) {
@@ -200,6 +235,7 @@
 
     private void connect() {
         mConnecting = true;
+        mProbedNanoseconds = mLinks.ticker().nanoTime();
         new Bootstrap()
                 .group(mLinks.loop())
                 .channel(NioSocketChannel.class)
@@ -224,7 +260,10 @@
     private void onConnected(ChannelFuture future) {
         mConnecting = false;
         if (!future.isSuccess()) {
-            mLinks.upstreams().setLinkState(mUpstream.id(), LinkState.FAILED);
+            if (mCurrent == null) {
+                markFailed();
+                mLinks.upstreams().setLinkState(mUpstream.id(), LinkState.FAILED);
+            }
             failWaiting();
             return;
         }
@@ -234,6 +273,7 @@
             return;
         }
         mOpen.add(link);
+        mFailed = false;
         mLinks.greet(link);
         if (mCurrent == null && !mRetired) {
             mCurrent = link;
