--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
@@ -13,6 +13,7 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.OutputStream;
+import org.slf4j.LoggerFactory;
 
 /**
  * Configures Logback to write one JSON object a line. Found by Logback as a service.
@@ -36,6 +37,13 @@
     private static final String STANDARD_ERROR = "System.err";
     private static final int OUTPUT_BUFFER_BYTES = 16_384;
 
+    /** Writes what waits to be written; to be called before the process ends. No line follows. */
+    public static void flush() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
+        }
+    }
+
     @Override
     public ExecutionStatus configure(LoggerContext context) {
         boolean batch = OUTPUT_BATCH.equals(System.getProperty(OUTPUT_PROPERTY));
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreFollower.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreFollower.java
@@ -30,6 +30,12 @@
     /** Time after the store's return in which entries that lapsed meanwhile come back. */
     public static final long RETURN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_200);
 
+    /** Changes of more bytes are large: in quick succession, only the newest of them is read. */
+    public static final int LARGE_BYTES = 32_768;
+
+    /** Large changes within this time of each other come in quick succession. */
+    public static final long SUCCESSION_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
     private static final long FIRST_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final long LONGEST_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final int LARGEST_SHIFT = 10;
@@ -46,6 +52,7 @@
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
     private final long mRemovalGraceNanoseconds;
+    private final long mPauseNanoseconds;
     private final Map<String, StoreItem> mItems = new TreeMap<>();
     private final Map<String, Long> mRemovedRevisions = new HashMap<>();
     private final Map<String, Long> mExpiries = new LinkedHashMap<>();
@@ -61,11 +68,15 @@
     private long mNotBeforeNanoseconds;
     private long mDisturbedUntilNanoseconds;
     private long mHeardNanoseconds;
+    private boolean mLargeChangeSeen;
+    private long mLargeChangeNanoseconds;
 
-    private StoreFollower(Ticker ticker, RandomGenerator random, Duration removalGrace) {
+    private StoreFollower(
+            Ticker ticker, RandomGenerator random, Duration removalGrace, Duration pause) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
         mRandom = Objects.requireNonNull(random, "random");
         mRemovalGraceNanoseconds = removalGrace.toNanos();
+        mPauseNanoseconds = pause.toNanos();
         mNotBeforeNanoseconds = ticker.nanoTime();
         mDisturbedUntilNanoseconds = ticker.nanoTime();
         mHeardNanoseconds = ticker.nanoTime();
@@ -77,9 +88,12 @@
      * @param ticker clock, not null
      * @param random source of randomness for backoffs, not null
      * @param removalGrace time for which a removed item is still held
+     * @param pause time without calls after large changes in quick succession, well below the bound
+     *     for a change to be in force
      */
-    public static StoreFollower of(Ticker ticker, RandomGenerator random, Duration removalGrace) {
-        return new StoreFollower(ticker, random, removalGrace);
+    public static StoreFollower of(
+            Ticker ticker, RandomGenerator random, Duration removalGrace, Duration pause) {
+        return new StoreFollower(ticker, random, removalGrace, pause);
     }
 
     /** Returns the call to make now, or null if one is open or none is due. */
@@ -126,6 +140,9 @@
             mRevision = Math.max(mRevision, item.revision());
         }
         mRevision = Math.max(mRevision, changes.revision());
+        if (isLarge(changes)) {
+            pauseInSuccession();
+        }
     }
 
     /**
@@ -191,6 +208,32 @@
         return mTicker.nanoTime() - mHeardNanoseconds;
     }
 
+    private static boolean isLarge(ItemStore.Changes changes) {
+        long bytes = 0;
+        for (StoreItem item : changes.items()) {
+            bytes += item.isRemoved() ? 0 : item.value().size();
+        }
+        return bytes > LARGE_BYTES;
+    }
+
+    /**
+     * A watch answers with every version of an item. After large changes in quick succession the
+     * next call waits and lists, which gives the newest version only, so that a storm of changes
+     * does not fill the links between regions.
+     */
+    private void pauseInSuccession() {
+        long now = mTicker.nanoTime();
+        boolean succession =
+                mLargeChangeSeen && now - mLargeChangeNanoseconds < SUCCESSION_NANOSECONDS;
+        mLargeChangeSeen = true;
+        mLargeChangeNanoseconds = now;
+        if (succession) {
+            mNotBeforeNanoseconds = now + mPauseNanoseconds;
+            mListing = true;
+            mListAfter = "";
+        }
+    }
+
     private void succeeded() {
         long now = mTicker.nanoTime();
         mCalling = false;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreFollowerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreFollowerTest.java
@@ -16,7 +16,8 @@
     private static final Duration GRACE = Duration.ofMillis(1_500);
 
     private final MockTicker mTicker = Ticker.newMockTicker();
-    private final StoreFollower mFollower = StoreFollower.of(mTicker, new Random(3), GRACE);
+    private final StoreFollower mFollower =
+            StoreFollower.of(mTicker, new Random(3), GRACE, Duration.ofSeconds(1));
 
     private static StoreItem item(String key, long revision, String value) {
         return new StoreItem(key, revision, ByteString.copyFromUtf8(value));
@@ -78,6 +79,25 @@
             assertThat(calls).isBetween(14, 32);
         }
 
+        /** Guards against a storm of changes of which every version crosses the regions' link. */
+        @Test
+        void largeChangesInQuickSuccessionAreReadOnlyInTheirNewestVersion() {
+            String large = "x".repeat(StoreFollower.LARGE_BYTES + 1);
+            list(5, item("a", 5, "1"));
+            watch(6, item("a", 6, large + 6));
+            watch(7, item("a", 7, large + 7));
+            assertThat(mFollower.nextCall()).as("pause").isNull();
+            advance(999);
+            assertThat(mFollower.nextCall()).isNull();
+            advance(1);
+            assertThat(mFollower.nextCall()).isEqualTo(new StoreFollower.Call.ListAfter(""));
+            mFollower.onPage(new ItemStore.Page(List.of(item("a", 11, large + 11)), false, 11));
+            assertThat(value("a")).endsWith("11");
+            advance(3_000);
+            watch(12, item("a", 12, large));
+            assertThat(mFollower.nextCall()).as("a single change").isNotNull();
+        }
+
         @Test
         void lostHistoryIsReadAnew() {
             list(5, item("a", 2, "1"));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
@@ -38,6 +38,7 @@
     /** Ends the node on SIGTERM. A planned stop is a success, not the death by a signal. */
     private static void stop(Node node) {
         node.leave().join();
+        JsonLogConfigurator.flush();
         Runtime.getRuntime().halt(EXIT_CODE_SUCCESS);
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -53,6 +53,7 @@
      * @param store creates the client of the store on event loops
      * @param decoder decodes the items of the store
      * @param removalGrace time for which an instance that was removed from the store gets work
+     * @param changePause time for which changes in quick succession may be gathered
      * @param shutdownBound longest time of a graceful shutdown
      */
     public record Parts(
@@ -62,6 +63,7 @@
             Function<EventLoopGroup, ItemStore> store,
             ItemDecoder decoder,
             Duration removalGrace,
+            Duration changePause,
             Duration shutdownBound) {
         /** Checks that no component is null. */
         public Parts {
@@ -71,6 +73,7 @@
             Objects.requireNonNull(store, "store");
             Objects.requireNonNull(decoder, "decoder");
             Objects.requireNonNull(removalGrace, "removalGrace");
+            Objects.requireNonNull(changePause, "changePause");
             Objects.requireNonNull(shutdownBound, "shutdownBound");
         }
     }
@@ -192,7 +195,11 @@
                 new StoreControl(
                         mControlLoops.next(),
                         mParts.store().apply(mControlLoops),
-                        StoreFollower.of(mTicker, new SplittableRandom(), mParts.removalGrace()),
+                        StoreFollower.of(
+                                mTicker,
+                                new SplittableRandom(),
+                                mParts.removalGrace(),
+                                mParts.changePause()),
                         new PublishedState(mParts.decoder(), new StateLog()),
                         this::onSnapshot);
         mControl.start();
