Refuse at once when no other upstream is expected to answer on time

Ruled out: the queue of the home (each refusal came within 3 ms). After a refusal another upstream is now asked only if its answer is expected within the objective.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Balancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Balancer.java
@@ -11,11 +11,14 @@
      * @param service service of the request, not null
      * @param excluded ids of upstreams that already refused or failed the request, not null
      * @param bodyBytes length of the request's body, at least 0
-     * @return the upstream, or null if no upstream may be used
+     * @param limitNanoseconds longest time that the answer may be expected to take; a balancer that
+     *     expects no times may ignore it
+     * @return the upstream, or null if no upstream may be used within the limit
      */
     Upstream choose(
             RoutingSnapshot snapshot,
             ServiceView service,
             Collection<String> excluded,
-            long bodyBytes);
+            long bodyBytes,
+            long limitNanoseconds);
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -77,7 +77,11 @@
         if (request.key() == null) {
             chosen =
                     mBalancer.choose(
-                            request.snapshot(), service, request.tried(), request.bodyBytes());
+                            request.snapshot(),
+                            service,
+                            request.tried(),
+                            request.bodyBytes(),
+                            Long.MAX_VALUE);
         } else {
             chosen = reachableHome(service, request.key());
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
@@ -86,13 +86,20 @@
             RoutingSnapshot snapshot,
             ServiceView service,
             Collection<String> excluded,
-            long bodyBytes) {
-        Upstream chosen = cheapest(service, excluded, bodyBytes, false);
-        return chosen == null ? cheapest(service, excluded, bodyBytes, true) : chosen;
+            long bodyBytes,
+            long limitNanoseconds) {
+        Upstream chosen = cheapest(service, excluded, bodyBytes, limitNanoseconds, false);
+        return chosen == null
+                ? cheapest(service, excluded, bodyBytes, limitNanoseconds, true)
+                : chosen;
     }
 
     private Upstream cheapest(
-            ServiceView service, Collection<String> excluded, long bodyBytes, boolean withAvoided) {
+            ServiceView service,
+            Collection<String> excluded,
+            long bodyBytes,
+            long limitNanoseconds,
+            boolean withAvoided) {
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
         for (Upstream upstream : service.upstreams()) {
@@ -106,7 +113,11 @@
             if (!usable) {
                 continue;
             }
-            double cost = cost(upstream, row) * (1 + JITTER * mRandom.nextDouble());
+            double expected = expectedNanoseconds(upstream, row);
+            if (expected > limitNanoseconds) {
+                continue;
+            }
+            double cost = expected * (1 + JITTER * mRandom.nextDouble());
             cost += transferCost(upstream, bodyBytes);
             if (cost < bestCost) {
                 best = upstream;
@@ -123,7 +134,7 @@
     }
 
     /** Returns the time until the answer of one more request, in nanoseconds. */
-    private double cost(Upstream upstream, UpstreamRow row) {
+    private double expectedNanoseconds(Upstream upstream, UpstreamRow row) {
         double service =
                 row.mServiceNanoseconds > 0 ? row.mServiceNanoseconds : DEFAULT_SERVICE_NANOSECONDS;
         if (mTable.nanoTime() - row.mWarmNanoseconds < 0) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
@@ -100,9 +100,11 @@
                         mSnapshot,
                         current == null ? service : current,
                         request.tried(),
-                        request.bodyBytes());
+                        request.bodyBytes(),
+                        longestExpectedNanoseconds(request));
         if (chosen == null) {
-            return Decision.refused(truthful(request, ErrorKind.NO_UPSTREAM));
+            ErrorKind kind = request.attempts() == 0 ? ErrorKind.NO_UPSTREAM : ErrorKind.OVERLOADED;
+            return Decision.refused(truthful(request, kind));
         }
         request.countAttempt(chosen.id());
         mUpstreams.attemptStarted(chosen.id());
@@ -154,6 +156,20 @@
         mUpstreams.attemptEnded(upstream.id());
     }
 
+    /**
+     * Returns how long the next attempt may be expected to take. After a refusal, another upstream
+     * is asked only if it is expected to answer on time: when all are full, a refusal at once lets
+     * the caller come back, while asking one after the other takes a round trip each.
+     */
+    private long longestExpectedNanoseconds(EntryRequest request) {
+        if (request.attempts() == 0) {
+            return Long.MAX_VALUE;
+        }
+        return request.arrivals() == 0
+                ? request.objectiveNanoseconds() - mTicker.nanoTime()
+                : remainingNanoseconds(request);
+    }
+
     private void takeSnapshot(RoutingSnapshot snapshot) {
         if (snapshot == mSnapshot) {
             return;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/TwoChoicesBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/TwoChoicesBalancer.java
@@ -57,7 +57,8 @@
             RoutingSnapshot snapshot,
             ServiceView service,
             Collection<String> excluded,
-            long bodyBytes) {
+            long bodyBytes,
+            long limitNanoseconds) {
         for (Filter filter : FILTERS) {
             Upstream chosen = chooseByScope(snapshot, service, excluded, filter);
             if (chosen != null) {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
@@ -28,6 +28,8 @@
                     .upstreams("s", "dohoku", "nayoro-a", "far")
                     .build(1, 1);
 
+    private long mLimit = Long.MAX_VALUE;
+
     @BeforeEach
     void update() {
         mTable.update(mSnapshot);
@@ -58,7 +60,11 @@
         for (int i = 0; i < 100; i++) {
             Upstream upstream =
                     mBalancer.choose(
-                            mSnapshot, mSnapshot.service("s"), List.of(excluded), bodyBytes);
+                            mSnapshot,
+                            mSnapshot.service("s"),
+                            List.of(excluded),
+                            bodyBytes,
+                            mLimit);
             counts.merge(upstream == null ? "none" : upstream.id(), 1, Integer::sum);
         }
         return counts;
@@ -102,6 +108,17 @@
         assertThat(chooseFor(60_000)).containsOnlyKeys("region");
     }
 
+    /** Guards against a refused request that asks one full upstream after the other. */
+    @Test
+    void upstreamThatIsExpectedToAnswerTooLateIsNotAsked() {
+        report("near", 40, 60, 0);
+        report("region", 40, 60, 0);
+        mLimit = TimeUnit.MILLISECONDS.toNanos(150);
+        assertThat(choose()).containsOnlyKeys("far");
+        mLimit = TimeUnit.MILLISECONDS.toNanos(100);
+        assertThat(choose()).containsOnlyKeys("none");
+    }
+
     @Test
     void excludedAndLeavingUpstreamsAreNotChosen() {
         mTable.markLeaving("region");
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.TrafficShare;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -105,6 +106,24 @@
             }
         }
 
+        /** Replays a service whose upstreams are all full, as far as the entry knows. */
+        @Test
+        void requestIsRefusedAtOnceWhenNoOtherUpstreamIsExpectedToServeItOnTime() {
+            EntryRequest request = begin("POST");
+            for (String id : new String[] {"u1", "u2", "u3"}) {
+                mTable.reportLoad(
+                        id,
+                        Load.newBuilder()
+                                .setRunning(10)
+                                .setQueued(2_000)
+                                .setSlots(10)
+                                .setServiceTimeMicroseconds(60_000)
+                                .build());
+            }
+            fail(request, refused(ErrorKind.OVERLOADED));
+            assertThat(mDecisions.choose(request).refusal()).isEqualTo(ErrorKind.OVERLOADED);
+        }
+
         /** Guards against repeats that multiply the load on targets that refuse. */
         @Test
         void repeatsThatReachTargetsStayWithinTheBudget() {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/TwoChoicesBalancerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/TwoChoicesBalancerTest.java
@@ -39,7 +39,12 @@
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < times; i++) {
             Upstream upstream =
-                    mBalancer.choose(mSnapshot, mSnapshot.service("s"), List.of(excluded), 0);
+                    mBalancer.choose(
+                            mSnapshot,
+                            mSnapshot.service("s"),
+                            List.of(excluded),
+                            0,
+                            Long.MAX_VALUE);
             counts.merge(upstream == null ? "none" : upstream.id(), 1, Integer::sum);
         }
         return counts;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerMessages.java
@@ -21,6 +21,9 @@
     private static final long MAXIMUM_DEADLINE_MILLISECONDS = TimeUnit.HOURS.toMillis(24);
     private static final long INVALID = -1;
 
+    /** A caller that returns sooner meets the same queue or the same dead upstreams. */
+    private static final int LEAST_RETRY_AFTER_MILLISECONDS = 100;
+
     private CallerMessages() {}
 
     /**
@@ -112,7 +115,8 @@
 
     private static String retryAfterOf(int milliseconds, HeaderNames names) {
         if (names.fractionalRetryAfter()) {
-            return BigDecimal.valueOf(Math.max(1, milliseconds), 3).toPlainString();
+            int stated = Math.max(LEAST_RETRY_AFTER_MILLISECONDS, milliseconds);
+            return BigDecimal.valueOf(stated, 3).toPlainString();
         }
         // Whole seconds, of which 0 would ask for an immediate repeat.
         long seconds = (milliseconds + 999L) / 1_000;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -109,7 +109,10 @@
     private void attempt() {
         Decision<Upstream> chosen = mGateway.parts().decisions().choose(mRequest);
         if (chosen.isRefused()) {
-            fail(chosen.refusal(), 0);
+            // The upstream that refused last knows best when there will be room.
+            fail(
+                    chosen.refusal(),
+                    mLastFailure == null ? 0 : mLastFailure.retryAfterMilliseconds());
             return;
         }
         Attempt attempt = new Attempt(chosen.value());
