--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/BatchAppender.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/BatchAppender.java
@@ -70,24 +70,28 @@
     }
 
     private void write() {
-        while (!mStopping || !mQueue.isEmpty()) {
-            try {
-                ILoggingEvent first = mQueue.poll(1, TimeUnit.SECONDS);
-                if (first == null) {
-                    continue;
-                }
+        try {
+            while (!mStopping) {
+                writeNextBatch();
+            }
+            writeWaiting();
+        } catch (IOException e) {
+            // Standard output is closed, so that there is nowhere to report to.
+            mStopping = true;
+        }
+    }
+
+    private void writeNextBatch() throws IOException {
+        try {
+            ILoggingEvent first = mQueue.poll(1, TimeUnit.SECONDS);
+            if (first != null) {
                 mOutput.write(mEncoder.encode(first));
-                if (!mStopping) {
-                    Thread.sleep(GATHERING_MILLISECONDS);
-                }
+                Thread.sleep(GATHERING_MILLISECONDS);
                 writeWaiting();
-            } catch (InterruptedException e) {
-                // Stopping: the loop writes what is left and ends.
-                mStopping = true;
-            } catch (IOException e) {
-                // Standard output is closed, so that there is nowhere to report to.
-                return;
             }
+        } catch (InterruptedException e) {
+            // The appender is stopped; the caller writes what is left.
+            mStopping = true;
         }
     }
 
--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
@@ -71,7 +71,8 @@
         return appender;
     }
 
-    private static JsonEncoder startedEncoder(LoggerContext context) {
+    /** Returns the encoder of all outputs. */
+    static JsonEncoder startedEncoder(LoggerContext context) {
         JsonEncoder encoder = new JsonEncoder();
         encoder.setContext(context);
         encoder.setWithSequenceNumber(false);
