--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/requests/RouteSteps.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/requests/RouteSteps.java
@@ -91,6 +91,6 @@
     }
 
     private Decision<EntryRequest> begin(RoutingSnapshot snapshot, String path) {
-        return mDecisions.begin(snapshot, "POST", path, null, 0, 0);
+        return mDecisions.begin(snapshot, "", "POST", path, null, 0, 0);
     }
 }
