Count the latency objective from the caller's first attempt; metrics as text

Cause: a caller that returned after a refusal counted as new work with its whole objective left. A return is now known by its path and by the moment at which its caller gives up, and is late from the start if its objective has passed.

The metrics are text in the format of Prometheus and stand at a port of the deploy file; the test of the JSON form is replaced by one of the whole text.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -147,6 +147,11 @@
         }
     }
 
+    @Override
+    public void turnedAway(EntryRequest request) {
+        // A repeat with an idempotency key is known by its key.
+    }
+
     /**
      * Returns whether another attempt cannot run the request twice. A target crash, reported by the
      * home as UPSTREAM_FAILED, is never followed by another attempt, because the request may be the
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryRequest.java
@@ -19,6 +19,7 @@
     private final long mDeadlineNanoseconds;
     private final long mObjectiveNanoseconds;
     private final List<String> mTried = new ArrayList<>(2);
+    private CallerAttempt mCallerAttempt;
     private long mBodyBytes;
     private int mAttempts;
     private int mArrivals;
@@ -89,6 +90,15 @@
         return Collections.unmodifiableList(mTried);
     }
 
+    /** Returns the attempt of the caller, or null if returns are not recognized. */
+    public CallerAttempt callerAttempt() {
+        return mCallerAttempt;
+    }
+
+    void setCallerAttempt(CallerAttempt attempt) {
+        mCallerAttempt = attempt;
+    }
+
     /** Returns the length of the body, 0 until it is known. */
     public long bodyBytes() {
         return mBodyBytes;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
@@ -26,6 +26,7 @@
     private final Balancer mBalancer;
     private final TrafficSplitter mSplitter;
     private final SharedRetryBudget mBudget;
+    private final ReturningCallers mReturning;
     private RoutingSnapshot mSnapshot;
 
     private PlacementDecisions(
@@ -35,6 +36,7 @@
             TrafficSplitter splitter,
             SharedRetryBudget budget) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
+        mReturning = ReturningCallers.of(ticker);
         mUpstreams = Objects.requireNonNull(upstreams, "upstreams");
         mBalancer = Objects.requireNonNull(balancer, "balancer");
         mSplitter = Objects.requireNonNull(splitter, "splitter");
@@ -76,15 +78,23 @@
             allowed = Math.min(allowed, callerDeadlineMilliseconds);
         }
         long objective = Integer.toUnsignedLong(route.entry().getLatencyObjectiveMilliseconds());
-        objective = objective == 0 ? allowed : Math.min(objective, allowed);
-        return Decision.of(
+        CallerAttempt attempt = mReturning.arrived(path, callerDeadlineMilliseconds);
+        // The objective counts from the first attempt of the caller, and may have passed.
+        long latest = now + TimeUnit.MILLISECONDS.toNanos(allowed);
+        long onTime =
+                objective == 0
+                        ? latest
+                        : attempt.firstNanoseconds() + TimeUnit.MILLISECONDS.toNanos(objective);
+        EntryRequest request =
                 new EntryRequest(
                         snapshot,
                         route,
                         null,
                         serviceId,
-                        now + TimeUnit.MILLISECONDS.toNanos(allowed),
-                        now + TimeUnit.MILLISECONDS.toNanos(objective)));
+                        latest,
+                        latest - onTime < 0 ? latest : onTime);
+        request.setCallerAttempt(attempt);
+        return Decision.of(request);
     }
 
     @Override
@@ -156,18 +166,30 @@
         mUpstreams.attemptEnded(upstream.id());
     }
 
+    @Override
+    public void turnedAway(EntryRequest request) {
+        if (request.callerAttempt() != null) {
+            mReturning.turnedAway(request.callerAttempt());
+        }
+    }
+
     /**
      * Returns how long the next attempt may be expected to take. After a refusal, another upstream
      * is asked only if it is expected to answer on time: when all are full, a refusal at once lets
-     * the caller come back, while asking one after the other takes a round trip each.
+     * the caller come back, while asking one after the other takes a round trip each. A request
+     * that is late already is placed like one that has its whole objective left.
      */
     private long longestExpectedNanoseconds(EntryRequest request) {
+        long remaining = remainingNanoseconds(request);
         if (request.attempts() == 0) {
             return Long.MAX_VALUE;
         }
-        return request.arrivals() == 0
-                ? request.objectiveNanoseconds() - mTicker.nanoTime()
-                : remainingNanoseconds(request);
+        if (request.arrivals() > 0) {
+            return remaining;
+        }
+        long left = request.objectiveNanoseconds() - mTicker.nanoTime();
+        long whole = request.route().entry().getLatencyObjectiveMilliseconds();
+        return left > 0 ? left : Math.min(remaining, TimeUnit.MILLISECONDS.toNanos(whole));
     }
 
     private void takeSnapshot(RoutingSnapshot snapshot) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RequestDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RequestDecisions.java
@@ -59,4 +59,7 @@
 
     /** Records that an attempt ended without result because the caller or the deadline ended it. */
     void abandoned(EntryRequest request, Upstream upstream);
+
+    /** Takes note of a request that ended with a refusal or a failure, whose caller may return. */
+    void turnedAway(EntryRequest request);
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreFollower.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreFollower.java
@@ -21,12 +21,6 @@
  * away and return soon after it.
  */
 public final class StoreFollower {
-    /**
-     * Longest wait of a watch. A connection may go silent without an end, and the store's bound for
-     * a change to be in force allows no longer blindness.
-     */
-    public static final Duration WATCH_WAIT = Duration.ofMillis(2_500);
-
     /** Time after the store's return in which entries that lapsed meanwhile come back. */
     public static final long RETURN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_200);
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
@@ -34,7 +34,10 @@
                             "s",
                             "GET",
                             "/",
-                            entry -> entry.setIdempotent(true).setAttempts(2))
+                            entry ->
+                                    entry.setIdempotent(true)
+                                            .setAttempts(2)
+                                            .setLatencyObjectiveMilliseconds(300))
                     .route("order", "s", "POST", "/", entry -> entry.setAttempts(2))
                     .route("split", "s", "PUT", "/", PlacementDecisionsTest::split)
                     .route("hosted", "t", "*", "/a/", entry -> entry.setHost("shop.example"))
@@ -164,6 +167,77 @@
         }
     }
 
+    /** Replays an overload in which refused callers return with what is left of their timeout. */
+    @Nested
+    class ReturningCallersOfARoute {
+        private EntryRequest arrive(String path, long statedMilliseconds) {
+            return mDecisions
+                    .begin(mSnapshot, "", "GET", path, null, 0, statedMilliseconds)
+                    .value();
+        }
+
+        private long objectiveLeft(EntryRequest request) {
+            return TimeUnit.NANOSECONDS.toMillis(
+                    request.objectiveNanoseconds() - mTicker.nanoTime());
+        }
+
+        /**
+         * Guards against a returned request that counts as one that can still be on time: under a
+         * lasting overload more than half of the answers of a route were late.
+         */
+        @Test
+        void objectiveCountsFromTheFirstAttempt() {
+            Random random = new Random(Long.getLong("foxtailmoor.seed", 4));
+            for (int i = 0; i < 200; i++) {
+                String path = "/rack/" + i;
+                EntryRequest first = arrive(path, 2_600);
+                assertThat(objectiveLeft(first)).isEqualTo(300);
+                mDecisions.turnedAway(first);
+                int pause = 100 + random.nextInt(600);
+                mTicker.advance(pause, TimeUnit.MILLISECONDS);
+                EntryRequest second = arrive(path, 2_600 - pause - random.nextInt(50));
+                assertThat(objectiveLeft(second)).isEqualTo(300 - pause);
+                mDecisions.turnedAway(second);
+                mTicker.advance(500, TimeUnit.MILLISECONDS);
+                EntryRequest third = arrive(path, 2_600 - pause - 500);
+                assertThat(objectiveLeft(third)).isEqualTo(-200 - pause);
+            }
+        }
+
+        /** Guards against a popular path whose callers are all taken as returned. */
+        @Test
+        void anotherCallerOfThePathHasItsWholeObjective() {
+            mDecisions.turnedAway(arrive("/popular", 2_600));
+            mTicker.advance(400, TimeUnit.MILLISECONDS);
+            assertThat(objectiveLeft(arrive("/popular", 2_600))).isEqualTo(300);
+            assertThat(objectiveLeft(arrive("/popular", 1_000))).isEqualTo(300);
+            assertThat(objectiveLeft(arrive("/popular", 2_200))).isEqualTo(-100);
+        }
+
+        /** Guards against a late request that gets no second upstream after a refusal. */
+        @Test
+        void lateRequestIsStillPlacedAtAnIdleUpstream() {
+            mDecisions.turnedAway(arrive("/x", 2_600));
+            mTicker.advance(1, TimeUnit.SECONDS);
+            EntryRequest request = arrive("/x", 1_600);
+            assertThat(objectiveLeft(request)).isNegative();
+            assertThat(fail(request, refused(ErrorKind.OVERLOADED)).isRetry()).isTrue();
+            assertThat(mDecisions.choose(request).isRefused()).isFalse();
+        }
+
+        /** Guards against a memory that grows with the refusals of an overload. */
+        @Test
+        void memoryOfRefusedCallersIsBounded() {
+            mDecisions.turnedAway(arrive("/oldest", 2_600));
+            for (int i = 0; i < ReturningCallers.REMEMBERED; i++) {
+                mDecisions.turnedAway(arrive("/rack/" + i, 2_600));
+            }
+            mTicker.advance(1, TimeUnit.SECONDS);
+            assertThat(objectiveLeft(arrive("/oldest", 1_600))).isEqualTo(300);
+            assertThat(objectiveLeft(arrive("/rack/1", 1_600))).isEqualTo(-700);
+        }
+    }
+
     @Nested
     class Budget {
         /**
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.foxtailmoor.base.FoxtailmoorException;
 import org.foxtailmoor.catalogue.CatalogueSnapshot;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.SnapshotReference;
@@ -49,9 +50,11 @@
      *
      * @param settings settings; those of the control port and the distribution are not used
      * @param readyAddress address that answers whether the node may get new work
+     * @param metricsPort port that serves the metrics beside the admin port, 0 for none
      * @param policies decisions about requests
      * @param store creates the client of the store on event loops
      * @param decoder decodes the items of the store
+     * @param watchWait longest wait of a watch of the store
      * @param removalGrace time for which an instance that was removed from the store gets work
      * @param changePause time for which changes in quick succession may be gathered
      * @param shutdownBound longest time of a graceful shutdown
@@ -59,9 +62,11 @@
     public record Parts(
             NodeSettings settings,
             InetSocketAddress readyAddress,
+            int metricsPort,
             DataPolicies policies,
             Function<EventLoopGroup, ItemStore> store,
             ItemDecoder decoder,
+            Duration watchWait,
             Duration removalGrace,
             Duration changePause,
             Duration shutdownBound) {
@@ -72,6 +77,7 @@
             Objects.requireNonNull(policies, "policies");
             Objects.requireNonNull(store, "store");
             Objects.requireNonNull(decoder, "decoder");
+            Objects.requireNonNull(watchWait, "watchWait");
             Objects.requireNonNull(removalGrace, "removalGrace");
             Objects.requireNonNull(changePause, "changePause");
             Objects.requireNonNull(shutdownBound, "shutdownBound");
@@ -90,6 +96,7 @@
     private DataSide mData;
     private AdminServer mAdmin;
     private AdminServer mReadyServer;
+    private AdminServer mMetricsServer;
     private volatile boolean mServing;
     private volatile boolean mLeaving;
 
@@ -191,10 +198,14 @@
                                 "/health", new HealthEndpoint("healthy", () -> true),
                                 "/metrics", new MetricsEndpoint(mMetrics),
                                 "/explain", new ExplainEndpoint(mData::explain)));
+        if (mParts.metricsPort() > 0) {
+            mMetricsServer = bindMetrics(node);
+        }
         mControl =
                 new StoreControl(
                         mControlLoops.next(),
                         mParts.store().apply(mControlLoops),
+                        mParts.watchWait(),
                         StoreFollower.of(
                                 mTicker,
                                 new SplittableRandom(),
@@ -212,6 +223,19 @@
                 node.adminPort());
     }
 
+    /** Binds the metrics port. Requests are served without it, so that a taken port is no fault. */
+    private AdminServer bindMetrics(NodeSettings.NodeSection node) {
+        try {
+            return AdminServer.bind(
+                    mControlLoops,
+                    new InetSocketAddress(node.address(), mParts.metricsPort()),
+                    Map.of("/metrics", new MetricsEndpoint(mMetrics)));
+        } catch (FoxtailmoorException e) {
+            LOGGER.warn("metrics are served on the admin port only: {}", e.getMessage());
+            return null;
+        }
+    }
+
     private void onSnapshot(RoutingSnapshot snapshot) {
         if (!mSnapshots.publish(snapshot)) {
             return;
@@ -251,6 +275,9 @@
         if (mReadyServer != null) {
             mReadyServer.close();
         }
+        if (mMetricsServer != null) {
+            mMetricsServer.close();
+        }
         mDataLoops.shutdownGracefully(0, LOOP_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
         mControlLoops.shutdownGracefully(0, LOOP_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminHandler.java
@@ -1,7 +1,5 @@
 package org.foxtailmoor.node.admin;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -16,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import org.foxtailmoor.base.ErrorKind;
@@ -26,7 +25,6 @@
 /** Passes each admin request to the endpoint of its path, and closes the connection after it. */
 final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final Logger LOGGER = LoggerFactory.getLogger(AdminHandler.class);
-    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Map<String, AdminEndpoint> mEndpoints;
 
@@ -64,22 +62,14 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(answer.status()),
-                        Unpooled.wrappedBuffer(bytesOf(answer)));
+                        Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8));
         response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                .set(HttpHeaderNames.CONTENT_TYPE, answer.contentType())
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    private static byte[] bytesOf(AdminResponse answer) {
-        try {
-            return MAPPER.writeValueAsBytes(answer.body());
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a JSON tree can always be written", e);
-        }
-    }
-
     private static AdminResponse errorOf(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (cause instanceof FoxtailmoorException exception) {
@@ -90,7 +80,7 @@
     }
 
     private static AdminResponse error(int status, String message) {
-        return new AdminResponse(
+        return AdminResponse.json(
                 status, JsonNodeFactory.instance.objectNode().put("error", message));
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/ExplainEndpoint.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/ExplainEndpoint.java
@@ -41,7 +41,7 @@
                             "one method and one path that starts with a slash are needed"));
         }
         return mExplain.apply(methods.get(0), paths.get(0))
-                .thenApply(explanation -> new AdminResponse(STATUS_OK, bodyOf(explanation)));
+                .thenApply(explanation -> AdminResponse.json(STATUS_OK, bodyOf(explanation)));
     }
 
     private static ObjectNode bodyOf(Explanation explanation) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/HealthEndpoint.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/HealthEndpoint.java
@@ -30,6 +30,7 @@
         boolean holds = mCondition.getAsBoolean();
         int status = holds ? STATUS_OK : STATUS_UNAVAILABLE;
         return CompletableFuture.completedFuture(
-                new AdminResponse(status, JsonNodeFactory.instance.objectNode().put(mName, holds)));
+                AdminResponse.json(
+                        status, JsonNodeFactory.instance.objectNode().put(mName, holds)));
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/MetricsEndpoint.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/MetricsEndpoint.java
@@ -4,16 +4,18 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
-/** Answers with every metric: numbers as such, distributions as an object of their quantiles. */
+/**
+ * Shows the metrics of a node in the text format of Prometheus. Dots in names become underscores;
+ * histograms and timers are summaries with the unit that their name states.
+ */
 public final class MetricsEndpoint implements AdminEndpoint {
-    private static final double NANOSECONDS_PER_MICROSECOND = TimeUnit.MICROSECONDS.toNanos(1);
+    private static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+    private static final int STATUS_OK = 200;
 
     private final MetricRegistry mMetrics;
 
@@ -28,32 +30,57 @@
 
     @Override
     public CompletableFuture<AdminResponse> answer(Map<String, List<String>> parameters) {
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
-        mMetrics.getGauges().forEach((name, gauge) -> body.putPOJO(name, gauge.getValue()));
-        mMetrics.getCounters().forEach((name, counter) -> body.put(name, counter.getCount()));
-        mMetrics.getMeters().forEach((name, meter) -> body.put(name, meter.getCount()));
-        mMetrics.getHistograms().forEach((name, histogram) -> body.set(name, of(histogram)));
-        mMetrics.getTimers().forEach((name, timer) -> body.set(name, of(timer)));
-        return CompletableFuture.completedFuture(new AdminResponse(200, body));
+        Page page = new Page();
+        mMetrics.getGauges().forEach((name, gauge) -> page.value(name, "gauge", gauge.getValue()));
+        mMetrics.getCounters()
+                .forEach((name, counter) -> page.value(name, "counter", counter.getCount()));
+        mMetrics.getMeters()
+                .forEach((name, meter) -> page.value(name, "counter", meter.getCount()));
+        mMetrics.getHistograms().forEach(page::summary);
+        mMetrics.getTimers().forEach(page::summary);
+        return CompletableFuture.completedFuture(
+                new AdminResponse(STATUS_OK, CONTENT_TYPE, page.text()));
     }
 
-    private static ObjectNode of(Histogram histogram) {
-        Snapshot snapshot = histogram.getSnapshot();
-        return JsonNodeFactory.instance
-                .objectNode()
-                .put("count", histogram.getCount())
-                .put("p50", snapshot.getMedian())
-                .put("p99", snapshot.get99thPercentile())
-                .put("max", snapshot.getMax());
-    }
+    /** Text under construction, one sample a line. */
+    private static final class Page {
+        private final StringBuilder mText = new StringBuilder();
+
+        void value(String name, String type, Object value) {
+            if (value instanceof Number number) {
+                String known = declare(name, type);
+                sample(known, number);
+            }
+        }
+
+        void summary(String name, Histogram histogram) {
+            summary(name, histogram.getCount(), histogram.getSnapshot());
+        }
+
+        void summary(String name, Timer timer) {
+            summary(name, timer.getCount(), timer.getSnapshot());
+        }
+
+        String text() {
+            return mText.toString();
+        }
+
+        private void summary(String name, long count, Snapshot snapshot) {
+            String known = declare(name, "summary");
+            sample(known + "{quantile=\"0.5\"}", snapshot.getMedian());
+            sample(known + "{quantile=\"0.99\"}", snapshot.get99thPercentile());
+            sample(known + "{quantile=\"1\"}", snapshot.getMax());
+            sample(known + "_count", count);
+        }
+
+        private String declare(String name, String type) {
+            String known = name.replace('.', '_').replace('-', '_').toLowerCase(Locale.ROOT);
+            mText.append("# TYPE ").append(known).append(' ').append(type).append('\n');
+            return known;
+        }
 
-    private static ObjectNode of(Timer timer) {
-        Snapshot snapshot = timer.getSnapshot();
-        return JsonNodeFactory.instance
-                .objectNode()
-                .put("count", timer.getCount())
-                .put("p50_microseconds", snapshot.getMedian() / NANOSECONDS_PER_MICROSECOND)
-                .put("p99_microseconds", snapshot.get99thPercentile() / NANOSECONDS_PER_MICROSECOND)
-                .put("max_microseconds", snapshot.getMax() / NANOSECONDS_PER_MICROSECOND);
+        private void sample(String name, Number value) {
+            mText.append(name).append(' ').append(value).append('\n');
+        }
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/StatusEndpoint.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/StatusEndpoint.java
@@ -42,7 +42,7 @@
 
     @Override
     public CompletableFuture<AdminResponse> answer(Map<String, List<String>> parameters) {
-        return mControl.status().thenApply(status -> new AdminResponse(200, bodyOf(status)));
+        return mControl.status().thenApply(status -> AdminResponse.json(200, bodyOf(status)));
     }
 
     private ObjectNode bodyOf(DistributionStatus status) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -1,6 +1,7 @@
 package org.foxtailmoor.node.control;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
@@ -30,6 +31,7 @@
 
     private final EventLoop mLoop;
     private final ItemStore mStore;
+    private final Duration mWatchWait;
     private final StoreFollower mFollower;
     private final PublishedState mState;
     private final Listener mListener;
@@ -42,6 +44,7 @@
      *
      * @param loop control loop
      * @param store store to read
+     * @param watchWait longest wait of a watch; a connection that went silent is noticed after it
      * @param follower decides on the calls
      * @param state decodes the items
      * @param listener receives the results
@@ -49,11 +52,13 @@
     public StoreControl(
             EventLoop loop,
             ItemStore store,
+            Duration watchWait,
             StoreFollower follower,
             PublishedState state,
             Listener listener) {
         mLoop = loop;
         mStore = store;
+        mWatchWait = watchWait;
         mFollower = follower;
         mState = state;
         mListener = listener;
@@ -91,7 +96,7 @@
                             (page, failure) -> onResult(() -> mFollower.onPage(page), failure),
                             mLoop);
         } else if (call instanceof StoreFollower.Call.WatchAfter watch) {
-            mStore.watch(watch.revision(), StoreFollower.WATCH_WAIT)
+            mStore.watch(watch.revision(), mWatchWait)
                     .whenCompleteAsync(
                             (changes, failure) ->
                                     onResult(() -> mFollower.onChanges(changes), failure),
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.TokenBucket;
+import org.foxtailmoor.core.routing.CallerAttempt;
 import org.foxtailmoor.core.routing.EntryRequest;
 import org.foxtailmoor.core.routing.Upstream;
 import org.foxtailmoor.protocol.generated.Load;
@@ -86,6 +87,8 @@
             entry(head, request)
                     .addKeyValue("upstream", upstream == null ? "" : upstream.id())
                     .addKeyValue("attempts", request.attempts())
+                    .addKeyValue("callerDeadlineMilliseconds", head.deadlineMilliseconds())
+                    .addKeyValue("waitedMilliseconds", waitedMilliseconds(request))
                     .addKeyValue("status", status)
                     .addKeyValue("outcome", kind == null ? "ANSWERED" : kind)
                     .addKeyValue("milliseconds", TimeUnit.NANOSECONDS.toMillis(durationNanoseconds))
@@ -113,6 +116,14 @@
         }
     }
 
+    /** Returns the time since the caller's first attempt, which decides what is late. */
+    private long waitedMilliseconds(EntryRequest request) {
+        CallerAttempt attempt = request.callerAttempt();
+        return attempt == null
+                ? 0
+                : TimeUnit.NANOSECONDS.toMillis(mTicker.nanoTime() - attempt.firstNanoseconds());
+    }
+
     private static LoggingEventBuilder entry(EntryHead head, EntryRequest request) {
         return LOGGER.atInfo()
                 .addKeyValue("request", head.requestId())
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -22,6 +22,7 @@
     private static final long DEADLINE_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+    private static final int LEAST_SERVER_ERROR = 500;
 
     private final EntryGateway mGateway;
     private final EntryHead mHead;
@@ -243,6 +244,9 @@
         }
         mUse.release();
         mGateway.onEnded();
+        if (kind != null || status >= LEAST_SERVER_ERROR) {
+            mGateway.parts().decisions().turnedAway(mRequest);
+        }
         long duration = mGateway.parts().ticker().nanoTime() - mStartedNanoseconds;
         mGateway.parts().metrics().entryDuration().update(duration, TimeUnit.NANOSECONDS);
         mGateway.parts().log().ended(mHead, mRequest, mLastUpstream, status, kind, duration);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/admin/AdminServerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/admin/AdminServerTest.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailmoor.base.ErrorKind;
@@ -40,13 +41,23 @@
     }
 
     @Test
-    void answersMetricsAsJson() throws Exception {
+    void answersMetricsAsText() throws Exception {
         mMetrics.counter("foxtailmoor.control.sent_bytes").inc(5);
+        mMetrics.timer("foxtailmoor.home.duration_nanoseconds").update(Duration.ofNanos(700));
 
         HttpResponse<String> answer = get("/metrics");
 
         assertThat(answer.statusCode()).isEqualTo(200);
-        assertThat(answer.body()).isEqualTo("{\"foxtailmoor.control.sent_bytes\":5}");
+        assertThat(answer.headers().firstValue("content-type").orElse("")).startsWith("text/plain");
+        assertThat(answer.body().lines())
+                .containsExactly(
+                        "# TYPE foxtailmoor_control_sent_bytes counter",
+                        "foxtailmoor_control_sent_bytes 5",
+                        "# TYPE foxtailmoor_home_duration_nanoseconds summary",
+                        "foxtailmoor_home_duration_nanoseconds{quantile=\"0.5\"} 700.0",
+                        "foxtailmoor_home_duration_nanoseconds{quantile=\"0.99\"} 700.0",
+                        "foxtailmoor_home_duration_nanoseconds{quantile=\"1\"} 700",
+                        "foxtailmoor_home_duration_nanoseconds_count 1");
     }
 
     @Test
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RequestPathTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RequestPathTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.Map;
@@ -60,8 +62,9 @@
     @Test
     void explanationNamesTheRouteAndItsUpstreams() throws Exception {
         AdminResponse answer = explain(Map.of("method", List.of("GET"), "path", List.of("/racks")));
-        assertThat(answer.body().get("route").asText()).isEqualTo(TestFleet.LOOKUPS);
-        assertThat(answer.body().get("upstreams").get(0).get("id").asText()).isEqualTo("lookup-1");
+        JsonNode body = new ObjectMapper().readTree(answer.body());
+        assertThat(body.get("route").asText()).isEqualTo(TestFleet.LOOKUPS);
+        assertThat(body.get("upstreams").get(0).get("id").asText()).isEqualTo("lookup-1");
         assertThatThrownBy(() -> explain(Map.of("method", List.of("GET"), "path", List.of("/x"))))
                 .hasMessageContaining("no route matches GET /x");
         assertThatThrownBy(() -> explain(Map.of())).hasMessageContaining("one method");
