Count the way of the answer when a request is placed

The mean length of a route's answers now counts like that of the body. longAnswerStaysInItsZoneUntilTheWaitThereIsLonger failed before with the far upstream.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -147,6 +147,11 @@
         }
     }
 
+    @Override
+    public void answered(EntryRequest request, long answerBytes) {
+        // Two random choices do not weigh the way of an answer.
+    }
+
     @Override
     public void turnedAway(EntryRequest request) {
         // A repeat with an idempotency key is known by its key.
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
@@ -39,15 +39,16 @@
     private static final double CONGESTION_COST = 0.5;
 
     /**
-     * Wait that a kilobyte between zones is worth. Transfer between zones is paid by volume; a
-     * photograph is placed in its own zone until the wait there endangers its objective.
+     * Wait that a kilobyte between zones is worth, in the body of a request or of its answer.
+     * Transfer between zones is paid by volume; a photograph is placed in its own zone until the
+     * wait there endangers its objective.
      */
     private static final double ZONE_NANOSECONDS_PER_KILOBYTE = TimeUnit.MILLISECONDS.toNanos(2);
 
     /** See above; the link between regions costs about three times as much and is narrow. */
     private static final double REGION_NANOSECONDS_PER_KILOBYTE = TimeUnit.MILLISECONDS.toNanos(6);
 
-    /** Heads and an answer of the usual size. */
+    /** Heads of a request and its answer. */
     private static final double FIXED_KILOBYTES = 1;
 
     private static final double BYTES_PER_KILOBYTE = 1_000;
@@ -148,7 +149,7 @@
         return roundTrip(upstream, row) + wait + service * (1 + congestion + failures);
     }
 
-    /** Returns what the way of the body costs, in nanoseconds of wait that it is worth. */
+    /** Returns what the way of the bodies costs, in nanoseconds of wait that it is worth. */
     private double transferCost(Upstream upstream, long bodyBytes) {
         double kilobytes = FIXED_KILOBYTES + bodyBytes / BYTES_PER_KILOBYTE;
         if (!upstream.region().equals(mRegion)) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PlacementDecisions.java
@@ -27,6 +27,7 @@
     private final TrafficSplitter mSplitter;
     private final SharedRetryBudget mBudget;
     private final ReturningCallers mReturning;
+    private final AnswerSizes mAnswerSizes = new AnswerSizes();
     private RoutingSnapshot mSnapshot;
 
     private PlacementDecisions(
@@ -110,7 +111,7 @@
                         mSnapshot,
                         current == null ? service : current,
                         request.tried(),
-                        request.bodyBytes(),
+                        request.bodyBytes() + mAnswerSizes.mean(request.route().id()),
                         longestExpectedNanoseconds(request));
         if (chosen == null) {
             ErrorKind kind = request.attempts() == 0 ? ErrorKind.NO_UPSTREAM : ErrorKind.OVERLOADED;
@@ -166,6 +167,11 @@
         mUpstreams.attemptEnded(upstream.id());
     }
 
+    @Override
+    public void answered(EntryRequest request, long answerBytes) {
+        mAnswerSizes.add(request.route().id(), answerBytes);
+    }
+
     @Override
     public void turnedAway(EntryRequest request) {
         if (request.callerAttempt() != null) {
@@ -199,6 +205,7 @@
         mSnapshot = snapshot;
         mUpstreams.update(snapshot);
         mSplitter.retain(snapshot);
+        mAnswerSizes.retain(snapshot);
         mBudget.resize(mUpstreams.size());
     }
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RequestDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RequestDecisions.java
@@ -60,6 +60,9 @@
     /** Records that an attempt ended without result because the caller or the deadline ended it. */
     void abandoned(EntryRequest request, Upstream upstream);
 
+    /** Takes note of an answer of a target that goes to the caller, with the length of its body. */
+    void answered(EntryRequest request, long answerBytes);
+
     /** Takes note of a request that ended with a refusal or a failure, whose caller may return. */
     void turnedAway(EntryRequest request);
 }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
@@ -167,6 +167,45 @@
         }
     }
 
+    /** Replays one busy zone beside an idle region, for reads whose answers are long. */
+    @Nested
+    class LongAnswers {
+        private final RoutingSnapshot mTwoRegions =
+                new Fleet()
+                        .service("s", 10)
+                        .route("read", "s", "GET", "/", true)
+                        .upstreams("s", "doo", "sapporo-a", "near")
+                        .upstreams("s", "dohoku", "nayoro-a", "far")
+                        .build(1, 1);
+
+        private String placeBehind(int running, int answerBytes) {
+            EntryRequest request = beginRead();
+            for (int i = 0; i < 20; i++) {
+                mDecisions.answered(request, answerBytes);
+            }
+            mTable.reportLoad(
+                    "near",
+                    Load.newBuilder()
+                            .setRunning(running)
+                            .setSlots(10)
+                            .setServiceTimeMicroseconds(60_000)
+                            .build());
+            return mDecisions.choose(beginRead()).value().id();
+        }
+
+        private EntryRequest beginRead() {
+            return mDecisions.begin(mTwoRegions, "", "GET", "/x", null, 0, 0).value();
+        }
+
+        /** Guards against a narrow link that is filled by answers of 20 kB to short requests. */
+        @Test
+        void longAnswerStaysInItsZoneUntilTheWaitThereIsLonger() {
+            assertThat(placeBehind(24, 100)).isEqualTo("far");
+            assertThat(placeBehind(24, 20_000)).isEqualTo("near");
+            assertThat(placeBehind(60, 20_000)).isEqualTo("far");
+        }
+    }
+
     /** Replays an overload in which refused callers return with what is left of their timeout. */
     @Nested
     class ReturningCallersOfARoute {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -184,6 +184,7 @@
             attemptAgain(0);
             return;
         }
+        mGateway.parts().decisions().answered(mRequest, answer.body().length());
         end(answer.status(), null);
         mListener.onOutcome(answer);
     }
