Refuse what arrives while the data loop is behind

Cause: after all processes were killed, cold loops accepted every request, held the slots with answers that they had not read yet, and spent their time on attempts to place work elsewhere. Callers waited past their deadlines.

A refusal at the entry states 0.5 s: what a cold process needs to catch up.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -45,6 +45,10 @@
     private static final int MAXIMUM_SKIPPED_BYTES = 65_536;
 
     private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
+
+    /** Time to state when the entry refuses: about what a cold process needs to catch up. */
+    private static final int ENTRY_RETRY_MILLISECONDS = 500;
+
     private static final long IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(75);
     private static final long UNUSED_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
@@ -185,7 +189,7 @@
         long announced = chunked ? 0 : HttpUtil.getContentLength(request, 0L);
         Decision<EntryCall> begun = mEntry.begin(head, announced, this::onOutcome);
         if (begun.isRefused()) {
-            refuse(request, failure(begun.refusal()));
+            refuse(request, refusalOf(begun.refusal()));
             return;
         }
         mCall = begun.value();
@@ -319,6 +323,11 @@
         return mEntry.parts().ticker().nanoTime() - mIdleSinceNanoseconds;
     }
 
+    /** A node that is not ready or behind its load needs a moment, and less if callers wait. */
+    private static Outcome.Failure refusalOf(ErrorKind kind) {
+        return new Outcome.Failure(kind, ErrorMessages.of(kind), ENTRY_RETRY_MILLISECONDS);
+    }
+
     private static Outcome.Failure failure(ErrorKind kind) {
         return Outcome.Failure.of(kind, ErrorMessages.of(kind));
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.core.admission.LoopBacklog;
 import org.foxtailmoor.core.routing.Decision;
 import org.foxtailmoor.core.routing.EntryRequest;
 import org.foxtailmoor.core.routing.RequestDecisions;
@@ -19,6 +20,9 @@
 final class EntryGateway {
     private static final int MAXIMUM_REQUESTS = 8_192;
 
+    /** With fewer open requests, a loop that is behind had one pause and has no load to shed. */
+    private static final int LEAST_OPEN_REQUESTS = 8;
+
     /** Parts that an entry is built from; no component may be null. */
     record Parts(
             EventLoop loop,
@@ -30,6 +34,7 @@
             HopTracer tracer,
             DataMetrics metrics,
             BooleanSupplier ready,
+            LoopBacklog backlog,
             HeaderNames headers,
             Supplier<String> callerService,
             DecisionLog log) {}
@@ -62,7 +67,7 @@
         if (!mParts.ready().getAsBoolean()) {
             return refuse(head, ErrorKind.NOT_READY);
         }
-        if (mOpenRequests >= MAXIMUM_REQUESTS) {
+        if (isFull()) {
             return refuse(head, ErrorKind.OVERLOADED);
         }
         SnapshotReference.Use<RoutingSnapshot> use = mParts.snapshots().acquire();
@@ -112,6 +117,11 @@
         return mParts.links().send(upstream, start, body, listener);
     }
 
+    private boolean isFull() {
+        boolean behind = mOpenRequests >= LEAST_OPEN_REQUESTS && mParts.backlog().isBehind();
+        return behind || mOpenRequests >= MAXIMUM_REQUESTS;
+    }
+
     private Decision<EntryCall> refuse(EntryHead head, ErrorKind kind) {
         mParts.log().refused(head, kind);
         mParts.metrics().countEntryError(kind);
