Log what made the entry refuse a request

The line of a refusal at the entry names the open requests and how far the data loop was behind, which decide it.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/LoopBacklog.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/LoopBacklog.java
@@ -34,8 +34,13 @@
         mDueNanoseconds = mTicker.nanoTime() + delayNanoseconds;
     }
 
+    /** Returns for how long the next tick has been overdue, 0 if it is not due yet. */
+    public long delayNanoseconds() {
+        return Math.max(0, mTicker.nanoTime() - mDueNanoseconds);
+    }
+
     /** Returns whether new work is to be refused. */
     public boolean isBehind() {
-        return mTicker.nanoTime() - mDueNanoseconds > BEHIND_NANOSECONDS;
+        return delayNanoseconds() > BEHIND_NANOSECONDS;
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
@@ -50,13 +50,22 @@
         }
     }
 
-    /** Logs a request that the entry did not route. */
-    void refused(EntryHead head, ErrorKind kind) {
+    /**
+     * Logs a request that the entry did not route.
+     *
+     * @param openRequests requests that were open at the entry then
+     * @param loopDelayNanoseconds how far the data loop was behind then
+     */
+    void refused(EntryHead head, ErrorKind kind, int openRequests, long loopDelayNanoseconds) {
         if (allows(mFailures)) {
             LOGGER.atInfo()
                     .addKeyValue("request", head.requestId())
                     .addKeyValue("host", head.host())
                     .addKeyValue("path", head.path())
+                    .addKeyValue("openRequests", openRequests)
+                    .addKeyValue(
+                            "loopDelayMilliseconds",
+                            TimeUnit.NANOSECONDS.toMillis(loopDelayNanoseconds))
                     .addKeyValue("outcome", kind)
                     .log("refused at entry");
         }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
@@ -123,7 +123,7 @@
     }
 
     private Decision<EntryCall> refuse(EntryHead head, ErrorKind kind) {
-        mParts.log().refused(head, kind);
+        mParts.log().refused(head, kind, mOpenRequests, mParts.backlog().delayNanoseconds());
         mParts.metrics().countEntryError(kind);
         return Decision.refused(kind);
     }
