--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/LoopBacklog.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/LoopBacklog.java
@@ -16,7 +16,8 @@
 public final class LoopBacklog {
     /**
      * Delay of a tick from which the loop is behind. Above a pause of the collector and above the
-     * 50 ms in which a processor quota may be used up; well below usual latency objectives.
+     * 70 ms for which a quota of 0.3 cores stops a process in each tenth of a second; well below
+     * usual latency objectives.
      */
     public static final long BEHIND_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(80);
 
