--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ReturningCallers.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ReturningCallers.java
@@ -17,6 +17,9 @@
     /** Attempts that are remembered; the oldest one is dropped first. */
     static final int REMEMBERED = 2_048;
 
+    /** Longer paths are not remembered, which bounds the memory to about 1 MB. */
+    static final int LONGEST_PATH = 512;
+
     /** Difference of two deadlines of one caller, which states them before each way to the node. */
     static final long DEADLINE_TOLERANCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -64,7 +67,8 @@
 
     /** Remembers an attempt that was refused or failed, whose caller may return. */
     public void turnedAway(CallerAttempt attempt) {
-        if (attempt.deadlineNanoseconds() - mTicker.nanoTime() > 0) {
+        boolean mayReturn = attempt.deadlineNanoseconds() - mTicker.nanoTime() > 0;
+        if (mayReturn && attempt.path().length() <= LONGEST_PATH) {
             mTurnedAway.put(attempt.path(), attempt);
         }
     }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/PlacementDecisionsTest.java
@@ -274,6 +274,10 @@
             mTicker.advance(1, TimeUnit.SECONDS);
             assertThat(objectiveLeft(arrive("/oldest", 1_600))).isEqualTo(300);
             assertThat(objectiveLeft(arrive("/rack/1", 1_600))).isEqualTo(-700);
+            String longPath = "/" + "x".repeat(ReturningCallers.LONGEST_PATH);
+            mDecisions.turnedAway(arrive(longPath, 2_600));
+            mTicker.advance(1, TimeUnit.SECONDS);
+            assertThat(objectiveLeft(arrive(longPath, 1_600))).isEqualTo(300);
         }
     }
 
