Tell failed reads of the store and unanswered callers apart

A failed read of the store was logged as "no response within 3700 ms", once per outage. That did not tell an answer that is still arriving over a full link from a silent connection, a slow store or a late processor of the node. A caller's connection that ended with a request that had been read and no answer left no line at all if the request came after the last answer of the connection, and the same line as a cancelled request if the node ended it.

HttpGetClient now follows each request: time until the connection and the first byte, time since the last byte, bytes of the body received and announced, and by how much the timer that gave the read up was late. StoreControl logs each failed read with its call. Ticks of the control and data loop record by how much they are late. The caller port logs and counts requests that were read and got no answer.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -14,7 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.foxtailmoor.base.FoxtailmoorException;
 import org.foxtailmoor.catalogue.CatalogueSnapshot;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
@@ -53,7 +53,8 @@
      * @param readyAddress address that serves the readiness check
      * @param metricsPort additional port that serves the metrics, 0 for none
      * @param policies policies that decide on requests
-     * @param store creates the client of the store on the given event loops
+     * @param store creates the client of the store on the given event loops, with its metrics in
+     *     the given registry
      * @param decoder decodes the items of the store
      * @param watchTimeout maximum wait of a watch of the store
      * @param removalGracePeriod time for which an instance that was removed from the store still
@@ -66,7 +67,7 @@
             InetSocketAddress readyAddress,
             int metricsPort,
             DataPolicies policies,
-            Function<EventLoopGroup, ItemStore> store,
+            BiFunction<EventLoopGroup, MetricRegistry, ItemStore> store,
             ItemDecoder decoder,
             Duration watchTimeout,
             Duration removalGracePeriod,
@@ -208,7 +209,7 @@
         mStoreControl =
                 new StoreControl(
                         mControlLoops.next(),
-                        mOptions.store().apply(mControlLoops),
+                        mOptions.store().apply(mControlLoops, mMetrics),
                         mOptions.watchTimeout(),
                         StoreWatcher.of(
                                 mTicker,
@@ -216,6 +217,7 @@
                                 mOptions.removalGracePeriod(),
                                 mOptions.changeBatchingPeriod()),
                         new StoreSnapshotBuilder(mOptions.decoder(), new StateChangeLogger()),
+                        mMetrics.timer("foxtailmoor.control.loop_delay_nanoseconds"),
                         this::onSnapshot);
         mStoreControl.start();
         LOGGER.info(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -1,5 +1,6 @@
 package org.foxtailmoor.node.control;
 
+import com.codahale.metrics.Timer;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
@@ -12,6 +13,7 @@
 import org.foxtailmoor.core.source.StoreWatcher;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Control plane of a node that reads the store directly: makes the calls that the {@link
@@ -35,9 +37,11 @@
     private final Duration mWatchTimeout;
     private final StoreWatcher mWatcher;
     private final StoreSnapshotBuilder mSnapshotBuilder;
+    private final Timer mLoopDelay;
     private final Listener mListener;
     private boolean mReachable = true;
     private boolean mClosed;
+    private long mNextTickNanoseconds;
 
     /**
      * Creates a control plane that is inactive until {@link #start()} is called. No argument may be
@@ -49,6 +53,7 @@
      *     after it
      * @param watcher schedules the calls
      * @param snapshotBuilder decodes the items into routing snapshots
+     * @param loopDelay records by how much each tick of the control loop is late
      * @param listener receives the results
      */
     public StoreControl(
@@ -57,17 +62,20 @@
             Duration watchTimeout,
             StoreWatcher watcher,
             StoreSnapshotBuilder snapshotBuilder,
+            Timer loopDelay,
             Listener listener) {
         mLoop = loop;
         mStore = store;
         mWatchTimeout = watchTimeout;
         mWatcher = watcher;
         mSnapshotBuilder = snapshotBuilder;
+        mLoopDelay = loopDelay;
         mListener = listener;
     }
 
     /** Starts reading the store. */
     public void start() {
+        mNextTickNanoseconds = mLoop.ticker().nanoTime();
         mLoop.scheduleAtFixedRate(
                 this::onTick, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
@@ -79,6 +87,10 @@
 
     /** Catches exceptions, because an exception would cancel all further executions of the tick. */
     private void onTick() {
+        mLoopDelay.update(
+                Math.max(0, mLoop.ticker().nanoTime() - mNextTickNanoseconds),
+                TimeUnit.NANOSECONDS);
+        mNextTickNanoseconds += TimeUnit.MILLISECONDS.toNanos(TICK_INTERVAL_MILLISECONDS);
         try {
             mWatcher.tick();
             publish();
@@ -93,21 +105,28 @@
             return;
         }
         StoreWatcher.Call call = mWatcher.nextCall();
+        long start = mLoop.ticker().nanoTime();
         if (call instanceof StoreWatcher.Call.ListAfter list) {
             mStore.list(list.key())
                     .whenCompleteAsync(
-                            (page, failure) -> onResult(() -> mWatcher.onPage(page), failure),
+                            (page, failure) ->
+                                    onResult(call, start, () -> mWatcher.onPage(page), failure),
                             mLoop);
         } else if (call instanceof StoreWatcher.Call.WatchAfter watch) {
             mStore.watch(watch.revision(), mWatchTimeout)
                     .whenCompleteAsync(
                             (changes, failure) ->
-                                    onResult(() -> mWatcher.onChanges(changes), failure),
+                                    onResult(
+                                            call,
+                                            start,
+                                            () -> mWatcher.onChanges(changes),
+                                            failure),
                             mLoop);
         }
     }
 
-    private void onResult(Runnable onSuccess, Throwable failure) {
+    private void onResult(
+            StoreWatcher.Call call, long startNanoseconds, Runnable onSuccess, Throwable failure) {
         if (failure == null) {
             onSuccess.run();
             logIfReachableAgain();
@@ -116,7 +135,7 @@
             boolean historyLost =
                     cause instanceof FoxtailmoorException exception
                             && exception.kind() == ErrorKind.PLATFORM_HISTORY_LOST;
-            logFailure(cause, historyLost);
+            logFailure(call, startNanoseconds, cause, historyLost);
             mWatcher.onFailure(historyLost);
         }
         publish();
@@ -140,13 +159,20 @@
         }
     }
 
-    private void logFailure(Throwable cause, boolean historyLost) {
+    /** Logs each failed call; the backoffs of the {@link StoreWatcher} bound their number. */
+    private void logFailure(
+            StoreWatcher.Call call, long startNanoseconds, Throwable cause, boolean historyLost) {
         if (historyLost) {
             LOGGER.info(
                     "the store has discarded the revisions to watch from; listing all items again");
-        } else if (mReachable) {
-            mReachable = false;
-            LOGGER.warn("cannot read from the store: {}", cause.getMessage());
+            return;
         }
+        LOGGER.atLevel(mReachable ? Level.WARN : Level.INFO)
+                .addKeyValue("call", call)
+                .addKeyValue(
+                        "milliseconds",
+                        TimeUnit.NANOSECONDS.toMillis(mLoop.ticker().nanoTime() - startNanoseconds))
+                .log("cannot read from the store: {}", cause.getMessage());
+        mReachable = false;
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -69,6 +69,8 @@
     private long mIdleSinceNanoseconds;
     private boolean mProcessing;
     private int mPendingWrites;
+    private String mRequestId = "";
+    private String mCloseReason;
 
     CallerConnection(CallerServer server, EntryGateway entry, BodyMemory memory) {
         mServer = server;
@@ -88,15 +90,19 @@
             return;
         }
         if (mPendingWrites > 0) {
-            // The caller is not reading its answer.
-            mChannel.close();
+            close("the caller did not read its answer");
         } else {
             closeIfIdle();
         }
     }
 
-    /** Closes the connection immediately. */
-    void close() {
+    /**
+     * Closes the connection immediately.
+     *
+     * @param reason reason to log if a request is left without an answer
+     */
+    void close(String reason) {
+        mCloseReason = reason;
         mChannel.close();
     }
 
@@ -119,8 +125,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (mCloseReason != null && (mCall != null || mState == State.SKIPPING_BODY)) {
+            recordUnanswered(mRequestId, mCloseReason);
+        }
         mState = State.CLOSING;
         cancelRequest();
+        // A pipelined request was read, so that its caller cannot know that it has not run.
+        mPipelinedMessages.forEach(this::recordIfIgnoredRequest);
         mPipelinedMessages.forEach(ReferenceCountUtil::release);
         mPipelinedMessages.clear();
         mServer.onClosed(this);
@@ -129,7 +140,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        context.close();
+        close("connection error: " + cause);
     }
 
     @Override
@@ -175,6 +186,7 @@
             }
             default -> {
                 // Input that arrives while the connection is closing is not answered.
+                recordIfIgnoredRequest(message);
             }
         }
     }
@@ -182,6 +194,7 @@
     private void onHead(HttpRequest request) {
         mKeepAlive = HttpUtil.isKeepAlive(request);
         mHeadRequest = HttpMethod.HEAD.equals(request.method());
+        mRequestId = requestId(request);
         EntryHead head = CallerMessages.parseHead(request, mEntry.dependencies().headers());
         if (head == null) {
             mKeepAlive = false;
@@ -278,7 +291,15 @@
         response.headers().set(HttpHeaderNames.CONNECTION, close ? "close" : "keep-alive");
         mState = close ? State.CLOSING : State.AWAITING_HEAD;
         mPendingWrites++;
-        mChannel.writeAndFlush(response).addListener(future -> onWritten(outcome, close));
+        String requestId = mRequestId;
+        mChannel.writeAndFlush(response)
+                .addListener(
+                        future -> {
+                            if (!future.isSuccess()) {
+                                recordUnwritten(requestId, future.cause());
+                            }
+                            onWritten(outcome, close);
+                        });
     }
 
     private void onWritten(Outcome outcome, boolean close) {
@@ -317,6 +338,31 @@
         }
     }
 
+    private void recordIfIgnoredRequest(HttpObject message) {
+        if (message instanceof HttpRequest request) {
+            recordUnanswered(
+                    requestId(request),
+                    mCloseReason == null
+                            ? "the request arrived after the last answer of the connection"
+                            : mCloseReason);
+        }
+    }
+
+    private void recordUnwritten(String requestId, Throwable cause) {
+        recordUnanswered(
+                requestId,
+                mCloseReason == null ? "the answer was not written: " + cause : mCloseReason);
+    }
+
+    private void recordUnanswered(String requestId, String reason) {
+        mEntry.dependencies().metrics().callerClosedUnanswered().inc();
+        mEntry.dependencies().log().closedUnanswered(requestId, reason);
+    }
+
+    private String requestId(HttpRequest request) {
+        return request.headers().get(mEntry.dependencies().headers().requestId(), "");
+    }
+
     private void refuseCall(ErrorKind kind) {
         mCall.refuse(kind);
         mCall = null;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
@@ -51,7 +51,8 @@
 
     /** Closes every connection immediately. */
     void closeAll() {
-        new ArrayList<>(mConnections).forEach(CallerConnection::close);
+        new ArrayList<>(mConnections)
+                .forEach(connection -> connection.close("the node ended its connections"));
     }
 
     int openConnections() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
@@ -17,6 +17,8 @@
     private final Timer mEntryDuration;
     private final Timer mHomeDuration;
     private final Timer mTargetDuration;
+    private final Timer mLoopDelay;
+    private final Counter mCallerClosedUnanswered;
     private final Counter mEntryRequests;
     private final Counter mEntryRetries;
     private final Counter mEntryCancelled;
@@ -31,6 +33,8 @@
         mEntryDuration = registry.timer(PREFIX + "entry.duration_nanoseconds");
         mHomeDuration = registry.timer(PREFIX + "home.duration_nanoseconds");
         mTargetDuration = registry.timer(PREFIX + "target.duration_nanoseconds");
+        mLoopDelay = registry.timer(PREFIX + "data.loop_delay_nanoseconds");
+        mCallerClosedUnanswered = registry.counter(PREFIX + "caller.closed.unanswered");
         mEntryRequests = registry.counter(PREFIX + "entry.requests");
         mEntryRetries = registry.counter(PREFIX + "entry.retries");
         mEntryCancelled = registry.counter(PREFIX + "entry.cancelled_requests");
@@ -54,6 +58,16 @@
         return mTargetDuration;
     }
 
+    /** Delay of each tick of the data loop. */
+    Timer loopDelay() {
+        return mLoopDelay;
+    }
+
+    /** Requests that were read and whose connection was closed without a complete answer. */
+    Counter callerClosedUnanswered() {
+        return mCallerClosedUnanswered;
+    }
+
     Counter entryRequests() {
         return mEntryRequests;
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -82,6 +82,7 @@
             DataPolicies policies) {}
 
     private final Dependencies mDependencies;
+    private final DataMetrics mMetrics;
     private final DecisionLog mLog;
     private final EpochClock mClock;
     private final UpstreamTable mUpstreams;
@@ -112,6 +113,7 @@
         HeaderNames headers = dependencies.policies().headers();
         BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
         DataMetrics metrics = new DataMetrics(dependencies.metrics());
+        mMetrics = metrics;
         mLog = new DecisionLog(ticker);
         mClock = EpochClock.of(ticker, dependencies.timeOfDay().getAsLong());
         mUpstreams = UpstreamTable.of(ticker);
@@ -334,6 +336,7 @@
     }
 
     private void tick() {
+        mMetrics.loopDelay().update(mEventLoopLag.nanoseconds(), TimeUnit.NANOSECONDS);
         try {
             runPeriodicTasks();
         } catch (RuntimeException e) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
@@ -107,6 +107,21 @@
         }
     }
 
+    /**
+     * Logs a request that was read and whose connection ends without a complete answer.
+     *
+     * @param requestId id of the caller's attempt, empty if absent
+     * @param reason what ended the connection or kept the answer from the caller
+     */
+    void closedUnanswered(String requestId, String reason) {
+        if (tryAcquire(mFailureTokens)) {
+            LOGGER.atWarn()
+                    .addKeyValue("request", requestId)
+                    .addKeyValue("cause", reason)
+                    .log("closed without an answer");
+        }
+    }
+
     /** Logs a request that the home node refused or that failed at the target. */
     void homeFailed(
             RequestStart start, HeaderNames names, Load load, ErrorKind kind, String cause) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetClient.java
@@ -1,35 +1,18 @@
 package org.foxtailmoor.node.platform;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.UnsafeByteOperations;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-import org.foxtailmoor.base.ErrorKind;
-import org.foxtailmoor.base.FoxtailmoorException;
 
 /**
  * Sends GET requests to the platform. A connection carries one request at a time and is reused
@@ -38,22 +21,40 @@
  */
 public final class HttpGetClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-    private static final int MAX_RESPONSE_BODY_BYTES = 16 << 20;
     private static final int MAX_IDLE_CONNECTIONS = 2;
+    private static final String DEFAULT_METRICS_PREFIX = "foxtailmoor.platform";
 
     private final EventLoop mLoop;
     private final InetSocketAddress mAddress;
-    private final ArrayDeque<Connection> mIdleConnections = new ArrayDeque<>();
+    private final HttpGetRecorder mRecorder;
+    private final ArrayDeque<HttpGetConnection> mIdleConnections = new ArrayDeque<>();
 
     /**
-     * Creates a client without open connections.
+     * Creates a client without open connections, whose metrics are not exported.
      *
      * @param group event loop group, one loop of which carries all connections; not null
      * @param address address of the platform, not null
      */
     public HttpGetClient(EventLoopGroup group, InetSocketAddress address) {
+        this(group, address, new MetricRegistry(), DEFAULT_METRICS_PREFIX);
+    }
+
+    /**
+     * Creates a client without open connections.
+     *
+     * @param group event loop group, one loop of which carries all connections; not null
+     * @param address address of the platform, not null
+     * @param metrics registry for the metrics of the requests, not null
+     * @param metricsPrefix prefix of the names of the metrics, without a dot at its end, not null
+     */
+    public HttpGetClient(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            MetricRegistry metrics,
+            String metricsPrefix) {
         mLoop = group.next();
         mAddress = address;
+        mRecorder = new HttpGetRecorder(metrics, metricsPrefix, mLoop.ticker());
     }
 
     /**
@@ -66,26 +67,32 @@
      */
     public CompletableFuture<HttpGetResponse> get(String pathAndQuery, Duration timeout) {
         CompletableFuture<HttpGetResponse> result = new CompletableFuture<>();
-        mLoop.execute(() -> send(new PendingRequest(pathAndQuery, timeout, result)));
+        mLoop.execute(
+                () ->
+                        send(
+                                new HttpGetExchange(
+                                        mAddress,
+                                        pathAndQuery,
+                                        timeout,
+                                        new HttpGetProgress(mLoop.ticker()),
+                                        mRecorder,
+                                        result)));
         return result;
     }
 
     /** Closes the idle connections. */
     @Override
     public void close() {
-        mLoop.execute(() -> mIdleConnections.forEach(connection -> connection.mChannel.close()));
+        mLoop.execute(() -> mIdleConnections.forEach(HttpGetConnection::close));
     }
 
-    private record PendingRequest(
-            String pathAndQuery, Duration timeout, CompletableFuture<HttpGetResponse> result) {}
-
-    private void send(PendingRequest pending) {
-        Connection idle = mIdleConnections.pollLast();
-        while (idle != null && !idle.mChannel.isActive()) {
+    private void send(HttpGetExchange exchange) {
+        HttpGetConnection idle = mIdleConnections.pollLast();
+        while (idle != null && !idle.isActive()) {
             idle = mIdleConnections.pollLast();
         }
         if (idle != null) {
-            idle.send(pending);
+            idle.send(exchange);
             return;
         }
         ChannelFuture connecting =
@@ -99,105 +106,34 @@
         connecting.addListener(
                 future -> {
                     if (future.isSuccess()) {
-                        connecting.channel().pipeline().get(Connection.class).send(pending);
+                        connecting.channel().pipeline().get(HttpGetConnection.class).send(exchange);
                     } else {
-                        pending.result()
-                                .completeExceptionally(
-                                        unavailable("cannot connect", future.cause()));
+                        exchange.fail("cannot connect", future.cause());
                     }
                 });
     }
 
-    private FullHttpRequest newRequest(String pathAndQuery) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, pathAndQuery);
-        String host = mAddress.getHostString() + ":" + mAddress.getPort();
-        request.headers().set(HttpHeaderNames.HOST, host);
-        return request;
-    }
-
-    private FoxtailmoorException unavailable(String reason, Throwable cause) {
-        return FoxtailmoorException.of(
-                ErrorKind.PLATFORM_UNAVAILABLE,
-                "request to the platform at " + mAddress + " failed: " + reason,
-                cause);
-    }
-
     private final class ConnectionInitializer extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline()
-                    .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BODY_BYTES))
-                    .addLast(new Connection(channel));
+            HttpGetConnection.addTo(channel, new IdleConnections());
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final Channel mChannel;
-        private PendingRequest mPendingRequest;
-        private ScheduledFuture<?> mTimeoutTask;
-
-        Connection(Channel channel) {
-            mChannel = channel;
-        }
-
-        void send(PendingRequest pending) {
-            mPendingRequest = pending;
-            mTimeoutTask =
-                    mLoop.schedule(
-                            () ->
-                                    fail(
-                                            "no response within "
-                                                    + pending.timeout().toMillis()
-                                                    + " ms",
-                                            null),
-                            pending.timeout().toMillis(),
-                            TimeUnit.MILLISECONDS);
-            mChannel.writeAndFlush(newRequest(pending.pathAndQuery()));
-        }
-
+    /** Keeps idle connections for the next requests. */
+    private final class IdleConnections implements HttpGetConnection.Listener {
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (mPendingRequest == null || response.decoderResult().isFailure()) {
-                fail("malformed or unexpected response", null);
-                return;
-            }
-            PendingRequest pending = mPendingRequest;
-            mPendingRequest = null;
-            mTimeoutTask.cancel(false);
-            ByteString body =
-                    UnsafeByteOperations.unsafeWrap(ByteBufUtil.getBytes(response.content()));
-            if (HttpUtil.isKeepAlive(response) && mIdleConnections.size() < MAX_IDLE_CONNECTIONS) {
-                mIdleConnections.addLast(this);
+        public void onIdle(HttpGetConnection connection) {
+            if (mIdleConnections.size() < MAX_IDLE_CONNECTIONS) {
+                mIdleConnections.addLast(connection);
             } else {
-                context.close();
+                connection.close();
             }
-            pending.result()
-                    .complete(
-                            new HttpGetResponse(
-                                    response.status().code(), response.headers(), body));
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            fail("the connection was closed before the response", null);
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            fail("connection error", cause);
-        }
-
-        private void fail(String reason, Throwable cause) {
-            mIdleConnections.remove(this);
-            mChannel.close();
-            if (mPendingRequest != null) {
-                PendingRequest pending = mPendingRequest;
-                mPendingRequest = null;
-                mTimeoutTask.cancel(false);
-                pending.result().completeExceptionally(unavailable(reason, cause));
-            }
+        public void onClosed(HttpGetConnection connection) {
+            mIdleConnections.remove(connection);
         }
     }
 }
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/control/StoreControlTest.java
@@ -0,0 +1,132 @@
+package org.foxtailmoor.node.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import com.codahale.metrics.Timer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.core.source.ItemDecoder;
+import org.foxtailmoor.core.source.ItemStore;
+import org.foxtailmoor.core.source.StoreItem;
+import org.foxtailmoor.core.source.StoreSnapshotBuilder;
+import org.foxtailmoor.core.source.StoreWatcher;
+import org.foxtailmoor.node.RecordedLog;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the log and the metrics on an event loop whose time the test advances. */
+class StoreControlTest {
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(1);
+
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private final Timer mLoopDelay = new Timer();
+    private final PendingStore mStore = new PendingStore();
+    private final RecordedLog mLog = new RecordedLog(StoreControl.class.getName());
+
+    /** Store whose calls the test completes. */
+    private static final class PendingStore implements ItemStore {
+        private CompletableFuture<Page> mList;
+        private CompletableFuture<Changes> mWatch;
+
+        @Override
+        public CompletableFuture<Page> list(String afterKey) {
+            mList = new CompletableFuture<>();
+            return mList;
+        }
+
+        @Override
+        public CompletableFuture<Changes> watch(long afterRevision, Duration wait) {
+            mWatch = new CompletableFuture<>();
+            return mWatch;
+        }
+    }
+
+    /** Ignores the content of a snapshot. */
+    private static final class NoListener implements StoreSnapshotBuilder.Listener {
+        @Override
+        public void onCatalogue(String label, long revision) {}
+
+        @Override
+        public void onInstance(Instance instance, long revision) {}
+
+        @Override
+        public void onInstanceGone(String key) {}
+
+        @Override
+        public void onUndecodable(String key, long revision, String reason) {}
+    }
+
+    @BeforeEach
+    void start() {
+        mChannel.freezeTime();
+        EventLoop loop = mChannel.eventLoop();
+        new StoreControl(
+                        loop,
+                        mStore,
+                        WATCH_TIMEOUT,
+                        StoreWatcher.of(
+                                loop.ticker(),
+                                new SplittableRandom(1),
+                                Duration.ofSeconds(1),
+                                Duration.ZERO),
+                        new StoreSnapshotBuilder(
+                                item -> new ItemDecoder.Content.Ignored(), new NoListener()),
+                        mLoopDelay,
+                        snapshot -> {})
+                .start();
+        advance(0);
+    }
+
+    @AfterEach
+    void stop() {
+        mLog.close();
+        mChannel.finishAndReleaseAll();
+    }
+
+    private void advance(long milliseconds) {
+        mChannel.advanceTimeBy(milliseconds, TimeUnit.MILLISECONDS);
+        mChannel.runPendingTasks();
+    }
+
+    private static FoxtailmoorException failure(String message) {
+        return FoxtailmoorException.of(ErrorKind.PLATFORM_UNAVAILABLE, message);
+    }
+
+    /** Guards against failures after the first one that leave no trace of what was read. */
+    @Test
+    void eachFailedReadIsLoggedWithItsCallAndDuration() {
+        mStore.mList.complete(new ItemStore.Page(List.of(StoreItem.removed("a", 7)), false, 7));
+        advance(0);
+        advance(300);
+        mStore.mWatch.completeExceptionally(failure("first"));
+        advance(0);
+        advance(1_000);
+        mStore.mWatch.completeExceptionally(failure("second"));
+        advance(0);
+        List<ILoggingEvent> lines = mLog.lines("cannot read from the store");
+        assertThat(lines)
+                .extracting(ILoggingEvent::getLevel)
+                .containsExactly(Level.WARN, Level.INFO);
+        assertThat(RecordedLog.value(lines.get(0), "call")).isEqualTo("WatchAfter[revision=7]");
+        assertThat(RecordedLog.value(lines.get(0), "milliseconds")).isEqualTo("300");
+        assertThat(lines.get(1).getFormattedMessage()).endsWith("second");
+    }
+
+    @Test
+    void delayOfTheControlLoopIsRecorded() {
+        mChannel.advanceTimeBy(520, TimeUnit.MILLISECONDS);
+        mChannel.runPendingTasks();
+        assertThat(TimeUnit.NANOSECONDS.toMillis(mLoopDelay.getSnapshot().getMax())).isEqualTo(500);
+    }
+}
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CallerPortTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CallerPortTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.node.RecordedLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -162,6 +165,60 @@
         assertThat(mCaller.isClosedByNode()).isTrue();
     }
 
+    /** Guards against a request that was read, got no answer and left no trace. */
+    @Test
+    void requestAfterTheLastAnswerIsLoggedAsUnanswered() throws Exception {
+        try (RecordedLog log = new RecordedLog("requests")) {
+            mCaller.send(
+                    "GET /orders/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                            + "GET /orders/2 HTTP/1.1\r\nHost: a\r\n"
+                            + "Foxtailmoor-Request-Id: second\r\n\r\n");
+            mTarget.take().answer(200, "one");
+            assertThat(mCaller.read().body()).isEqualTo("one");
+            assertThat(mCaller.isClosedByNode()).isTrue();
+            assertThat(mFleet.onLoop(this::closedUnanswered)).isEqualTo(1);
+            List<ILoggingEvent> lines = log.lines("closed without an answer");
+            assertThat(lines).hasSize(1);
+            assertThat(RecordedLog.value(lines.get(0), "request")).isEqualTo("second");
+            assertThat(RecordedLog.value(lines.get(0), "cause")).contains("after the last answer");
+        }
+    }
+
+    /** Guards against a running request that the end of the node leaves without a trace. */
+    @Test
+    void requestThatTheNodeAbortsIsLoggedAsUnanswered() throws Exception {
+        try (RecordedLog log = new RecordedLog("requests")) {
+            mCaller.send(
+                    "GET /orders/1 HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: first\r\n\r\n");
+            mTarget.take();
+            mNode.data().close();
+            assertThat(mCaller.isClosedByNode()).isTrue();
+            // The socket is closed before the handlers of the connection are called.
+            mFleet.onLoop(() -> null);
+            assertThat(mFleet.onLoop(this::closedUnanswered)).isEqualTo(1);
+            List<ILoggingEvent> lines = log.lines("closed without an answer");
+            assertThat(lines).hasSize(1);
+            assertThat(RecordedLog.value(lines.get(0), "request")).isEqualTo("first");
+            assertThat(RecordedLog.value(lines.get(0), "cause")).contains("the node ended");
+        }
+    }
+
+    @Test
+    void answeredAndCancelledRequestsAreNotCountedAsUnanswered() throws Exception {
+        mCaller.send(get("/orders/1"));
+        mTarget.take().answer(200, "one");
+        mCaller.read();
+        mCaller.send(get("/orders/2"));
+        mTarget.take();
+        mCaller.close();
+        mTarget.connectionClosed().get(10, TimeUnit.SECONDS);
+        assertThat(mFleet.onLoop(this::closedUnanswered)).isZero();
+    }
+
+    private long closedUnanswered() {
+        return mNode.metrics().counter("foxtailmoor.caller.closed.unanswered").getCount();
+    }
+
     private long reservedBytes() {
         return (Long)
                 mNode.metrics().getGauges().get("foxtailmoor.bodies.reserved_bytes").getValue();
