Complete reads that keep arriving for longer than their timeout

A node whose link to the store was slow gave up each read of a large answer after a fixed total time, discarded what it had received and asked again for the whole answer, so that it never got a configuration and loaded the link further. The timeout of HttpGetClient covered the whole response.

The timeout now ends with the first byte of the body. Bytes that trickle without end, in a head, in informational responses or in a body, are given up 10 s after the timeout, and a response is limited to 16 MiB with its heads and chunk sizes. The timer is moved when it fires, not with each part of a body.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetClient.java
@@ -17,15 +17,18 @@
 /**
  * Sends GET requests to the platform. A connection carries one request at a time and is reused
  * after a complete response. When a request times out, its connection is closed, because the peer
- * may be unresponsive.
+ * may be unresponsive. A response that keeps arriving is not given up before a limit on its time
+ * and size, because a new request would start again from its first byte on the same link.
  */
 public final class HttpGetClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final int MAX_IDLE_CONNECTIONS = 2;
+    private static final Duration DEFAULT_STALL_TIMEOUT = Duration.ofSeconds(5);
     private static final String DEFAULT_METRICS_PREFIX = "foxtailmoor.platform";
 
     private final EventLoop mLoop;
     private final InetSocketAddress mAddress;
+    private final Duration mStallTimeout;
     private final HttpGetRecorder mRecorder;
     private final ArrayDeque<HttpGetConnection> mIdleConnections = new ArrayDeque<>();
 
@@ -36,7 +39,7 @@
      * @param address address of the platform, not null
      */
     public HttpGetClient(EventLoopGroup group, InetSocketAddress address) {
-        this(group, address, new MetricRegistry(), DEFAULT_METRICS_PREFIX);
+        this(group, address, DEFAULT_STALL_TIMEOUT, new MetricRegistry(), DEFAULT_METRICS_PREFIX);
     }
 
     /**
@@ -44,16 +47,19 @@
      *
      * @param group event loop group, one loop of which carries all connections; not null
      * @param address address of the platform, not null
+     * @param stallTimeout maximum time without a new byte within a response, not null
      * @param metrics registry for the metrics of the requests, not null
      * @param metricsPrefix prefix of the names of the metrics, without a dot at its end, not null
      */
     public HttpGetClient(
             EventLoopGroup group,
             InetSocketAddress address,
+            Duration stallTimeout,
             MetricRegistry metrics,
             String metricsPrefix) {
         mLoop = group.next();
         mAddress = address;
+        mStallTimeout = stallTimeout;
         mRecorder = new HttpGetRecorder(metrics, metricsPrefix, mLoop.ticker());
     }
 
@@ -61,7 +67,7 @@
      * Sends a GET request. May be called from any thread.
      *
      * @param pathAndQuery request path with query string, not null
-     * @param timeout maximum time from sending until the complete response
+     * @param timeout maximum time from sending until the body of the response begins
      * @return future that is completed on the event loop with the complete response, or fails with
      *     PLATFORM_UNAVAILABLE
      */
@@ -74,6 +80,7 @@
                                         mAddress,
                                         pathAndQuery,
                                         timeout,
+                                        mStallTimeout,
                                         new HttpGetProgress(mLoop.ticker()),
                                         mRecorder,
                                         result)));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetConnection.java
@@ -35,7 +35,14 @@
         void onClosed(HttpGetConnection connection);
     }
 
-    private static final int MAX_RESPONSE_BODY_BYTES = 16 << 20;
+    /** Limit for a response with its heads, chunk sizes and trailers. */
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+    /**
+     * Time for which a response may keep arriving after the timeout of its request. A peer that
+     * sends bytes without end would otherwise hold the request forever.
+     */
+    private static final long MAX_TRANSFER_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
 
     private final Channel mChannel;
     private final Listener mListener;
@@ -43,7 +50,7 @@
     private HttpResponse mHead;
     private ByteBuf mBody;
     private ScheduledFuture<?> mTimeoutTask;
-    private long mTimeoutNanoseconds;
+    private long mSentNanoseconds;
 
     private HttpGetConnection(Channel channel, Listener listener) {
         mChannel = channel;
@@ -72,13 +79,8 @@
     void send(HttpGetExchange exchange) {
         mExchange = exchange;
         exchange.progress().onConnected();
-        mTimeoutNanoseconds = now() + exchange.timeout().toNanos();
-        mTimeoutTask =
-                mChannel.eventLoop()
-                        .schedule(
-                                this::onTimeout,
-                                exchange.timeout().toMillis(),
-                                TimeUnit.MILLISECONDS);
+        mSentNanoseconds = now();
+        scheduleTimeout();
         mChannel.writeAndFlush(newRequest(exchange));
     }
 
@@ -111,19 +113,21 @@
         mBody = Unpooled.buffer();
         long length = HttpUtil.getContentLength(head, HttpGetProgress.UNKNOWN_LENGTH);
         mExchange.progress().onHead(length);
-        if (length > MAX_RESPONSE_BODY_BYTES) {
+        if (length > MAX_RESPONSE_BYTES) {
             fail("the response is too large", null);
         }
     }
 
     private void onContent(HttpContent content) {
         int bytes = content.content().readableBytes();
+        boolean bodyBegins = mExchange.progress().bodyBytes() == 0 && bytes > 0;
         mExchange.progress().onBody(bytes);
-        if (mExchange.progress().bodyBytes() > MAX_RESPONSE_BODY_BYTES) {
-            fail("the response is too large", null);
-            return;
-        }
         mBody.writeBytes(content.content());
+        if (bodyBegins) {
+            // The stall timeout may end before the timeout of a long poll.
+            mTimeoutTask.cancel(false);
+            scheduleTimeout();
+        }
         if (content instanceof LastHttpContent) {
             // An informational response precedes the actual one.
             if (mHead.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
@@ -146,16 +150,58 @@
         exchange.complete(new HttpGetResponse(head.status().code(), head.headers(), body));
     }
 
-    private void onTimeout() {
-        long lateMilliseconds = TimeUnit.NANOSECONDS.toMillis(now() - mTimeoutNanoseconds);
+    private void scheduleTimeout() {
+        mTimeoutTask =
+                mChannel.eventLoop()
+                        .schedule(
+                                this::checkTimeout,
+                                deadlineNanoseconds() - now(),
+                                TimeUnit.NANOSECONDS);
+    }
+
+    /** Gives the request up, unless bytes that arrived meanwhile have moved its deadline. */
+    private void checkTimeout() {
+        long lateNanoseconds = now() - deadlineNanoseconds();
+        if (lateNanoseconds < 0) {
+            scheduleTimeout();
+            return;
+        }
+        String reason = timeoutReason();
         HttpGetExchange exchange = endExchange();
         closeUnusable();
         exchange.timeOut(
-                "no response within "
-                        + exchange.timeout().toMillis()
-                        + " ms, timer "
-                        + lateMilliseconds
-                        + " ms late");
+                reason + ", timer " + TimeUnit.NANOSECONDS.toMillis(lateNanoseconds) + " ms late");
+    }
+
+    /**
+     * Returns the time at which the request is given up. The wait of a long poll may pass between
+     * the head and the body, so that only the body ends it.
+     */
+    private long deadlineNanoseconds() {
+        HttpGetProgress progress = mExchange.progress();
+        long answerDeadline = mSentNanoseconds + mExchange.timeout().toNanos();
+        if (progress.state() != HttpGetProgress.State.PARTLY_RECEIVED) {
+            return answerDeadline;
+        }
+        long stallDeadline = progress.lastByteNanoseconds() + mExchange.stallTimeout().toNanos();
+        boolean bodyBegun = progress.bodyBytes() > 0;
+        long deadline = bodyBegun ? stallDeadline : later(answerDeadline, stallDeadline);
+        return earlier(deadline, transferDeadlineNanoseconds());
+    }
+
+    private long transferDeadlineNanoseconds() {
+        return mSentNanoseconds + mExchange.timeout().toNanos() + MAX_TRANSFER_NANOSECONDS;
+    }
+
+    private String timeoutReason() {
+        if (mExchange.progress().state() != HttpGetProgress.State.PARTLY_RECEIVED) {
+            return "no response within " + mExchange.timeout().toMillis() + " ms";
+        }
+        if (now() - transferDeadlineNanoseconds() >= 0) {
+            long limit = mExchange.timeout().toNanos() + MAX_TRANSFER_NANOSECONDS;
+            return "not complete within " + TimeUnit.NANOSECONDS.toMillis(limit) + " ms";
+        }
+        return "no progress for " + mExchange.stallTimeout().toMillis() + " ms";
     }
 
     private void fail(String reason, Throwable cause) {
@@ -182,6 +228,16 @@
         return mChannel.eventLoop().ticker().nanoTime();
     }
 
+    /** Returns the later of two ticker times; comparing the difference tolerates overflow. */
+    private static long later(long first, long second) {
+        return first - second >= 0 ? first : second;
+    }
+
+    /** Returns the earlier of two ticker times; comparing the difference tolerates overflow. */
+    private static long earlier(long first, long second) {
+        return first - second <= 0 ? first : second;
+    }
+
     private static FullHttpRequest newRequest(HttpGetExchange exchange) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -191,12 +247,17 @@
         return request;
     }
 
-    /** Counts the bytes of the response as they arrive, before they are decoded. */
+    /** Counts and limits the bytes of the response as they arrive, before they are decoded. */
     private final class ByteCounter extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             if (mExchange != null && message instanceof ByteBuf buffer) {
                 mExchange.received(buffer.readableBytes());
+                if (mExchange.progress().receivedBytes() > MAX_RESPONSE_BYTES) {
+                    buffer.release();
+                    fail("the response is too large", null);
+                    return;
+                }
             }
             context.fireChannelRead(message);
         }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetExchange.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetExchange.java
@@ -11,7 +11,8 @@
  *
  * @param address address of the peer
  * @param pathAndQuery request path with query string
- * @param timeout maximum time until the response
+ * @param timeout maximum time until the body of the response begins
+ * @param stallTimeout maximum time without a new byte once the body has begun
  * @param progress course of the request
  * @param recorder records the course at its end
  * @param result future that gets the response
@@ -20,6 +21,7 @@
         InetSocketAddress address,
         String pathAndQuery,
         Duration timeout,
+        Duration stallTimeout,
         HttpGetProgress progress,
         HttpGetRecorder recorder,
         CompletableFuture<HttpGetResponse> result) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetProgress.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/platform/HttpGetProgress.java
@@ -75,6 +75,11 @@
         return mBodyBytes;
     }
 
+    /** Returns the time of the last byte; valid once a byte was received. */
+    long lastByteNanoseconds() {
+        return mLastByteNanoseconds;
+    }
+
     /** Returns the time since the start of the request. */
     long durationNanoseconds() {
         return mTicker.nanoTime() - mStartNanoseconds;
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/platform/HttpGetConnectionTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/platform/HttpGetConnectionTest.java
@@ -22,6 +22,7 @@
 /** Tests one connection on a channel whose time the test advances. */
 class HttpGetConnectionTest {
     private static final Duration TIMEOUT = Duration.ofMillis(1_200);
+    private static final Duration STALL_TIMEOUT = Duration.ofMillis(1_000);
     private static final String PATH = "/kv-watch?after=7";
 
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
@@ -60,6 +61,7 @@
                 new InetSocketAddress("127.0.0.1", 1),
                 PATH,
                 TIMEOUT,
+                STALL_TIMEOUT,
                 new HttpGetProgress(mChannel.eventLoop().ticker()),
                 mRecorder,
                 new CompletableFuture<>());
@@ -152,6 +154,116 @@
         }
     }
 
+    @Nested
+    class SlowResponses {
+        private static final long INTERVAL_MILLISECONDS = 100;
+
+        /** Guards against a large response that a slow link can never deliver. */
+        @Test
+        void responseThatArrivesSteadilyForLongerThanTheTimeoutIsCompleted() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receiveHead(50);
+            for (int i = 0; i < 50; i++) {
+                advance(INTERVAL_MILLISECONDS);
+                receive("a");
+            }
+            assertThat(result.join().body().size()).isEqualTo(50);
+        }
+
+        /** Guards against a connection that goes silent within a response and is kept. */
+        @Test
+        void stalledResponseIsGivenUpAfterTheStallTimeout() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receiveHead(50);
+            advance(2 * INTERVAL_MILLISECONDS);
+            receive("a");
+            advance(STALL_TIMEOUT.toMillis() - 1);
+            assertThat(result).isNotDone();
+            advance(1);
+            assertThatThrownBy(result::join)
+                    .hasMessageContaining("no progress for 1000 ms")
+                    .hasMessageContaining("received 1 of 50 body bytes");
+            assertThat(mChannel.isActive()).isFalse();
+        }
+
+        /** Guards against a long poll that ends early because its head is sent before its wait. */
+        @Test
+        void bodyMayFollowItsHeadAfterTheWaitOfALongPoll() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receiveHead(4);
+            advance(TIMEOUT.toMillis() - 1);
+            receive("body");
+            assertThat(result.join().body().toStringUtf8()).isEqualTo("body");
+        }
+
+        /** Guards against a response without an end that holds the read forever. */
+        @Test
+        void bodyWithoutEndIsGivenUpAtTheLimitOfTheTransferTime() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receiveHead(1_000_000);
+            assertGivenUpWhileReceiving(result, "a");
+        }
+
+        /** Guards against a head without an end that holds the read forever. */
+        @Test
+        void headWithoutEndIsGivenUpAtTheLimitOfTheTransferTime() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receive("HTTP/1.1 200 OK\r\nName: ");
+            assertGivenUpWhileReceiving(result, "a");
+        }
+
+        @Test
+        void informationalResponsesWithoutEndAreGivenUpAtTheLimitOfTheTransferTime() {
+            assertGivenUpWhileReceiving(send(), "HTTP/1.1 102 Processing\r\n\r\n");
+        }
+
+        /** Guards against a response without an end that fills the memory. */
+        @Test
+        void chunksWithoutEndAreGivenUpAtTheLimitOfBytes() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String chunk = "10000\r\n" + "a".repeat(0x10000) + "\r\n";
+            for (int i = 0; i <= 256 && !result.isDone(); i++) {
+                receive(chunk);
+            }
+            assertThatThrownBy(result::join).hasMessageContaining("too large");
+            assertThat(count("received_bytes")).isLessThan((16 << 20) + 2 * chunk.length());
+        }
+
+        @Test
+        void headWithoutEndIsGivenUpAtTheLimitOfBytes() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receive("HTTP/1.1 200 OK\r\n");
+            for (int i = 0; i < 10 && !result.isDone(); i++) {
+                receive("Name: " + "a".repeat(1_000) + "\r\n");
+            }
+            assertThatThrownBy(result::join).hasMessageContaining("malformed");
+        }
+
+        @Test
+        void announcedLengthOverTheLimitIsGivenUpAtOnce() {
+            CompletableFuture<HttpGetResponse> result = send();
+            receiveHead((16 << 20) + 1);
+            assertThatThrownBy(result::join).hasMessageContaining("too large");
+        }
+
+        private void assertGivenUpWhileReceiving(
+                CompletableFuture<HttpGetResponse> result, String part) {
+            long limit = TIMEOUT.toMillis() + 10_000;
+            long milliseconds = 0;
+            while (!result.isDone() && milliseconds < 2 * limit) {
+                advance(INTERVAL_MILLISECONDS);
+                milliseconds += INTERVAL_MILLISECONDS;
+                if (!result.isDone()) {
+                    receive(part);
+                }
+            }
+            assertThatThrownBy(result::join).hasMessageContaining("not complete within");
+            assertThat(milliseconds).isEqualTo(limit);
+            assertThat(mChannel.isActive()).isFalse();
+        }
+    }
+
     @Nested
     class CompleteReads {
         @Test
