Do not reuse a target connection that holds bytes after an answer

What callers saw: when a target sent further bytes after a complete answer, the next request on that connection failed as OUTCOME_UNKNOWN, and a failure of the target could reach the caller as a success.

Cause: the HTTP codec keeps an incomplete message in its buffer and passes nothing on, so the connection counted as idle and was reused. The kept bytes preceded the next answer: after "HTTP/1.1 200 OK\r\na: ", the head "HTTP/1.1 500 x" of the next answer became the value of a header.

Evidence, tests on the code before: headAfterAnAnswerDoesNotBecomeTheNextAnswer: expected: 500 but was: 200 connectionWithBytesAfterAnAnswerIsNotReused, 4 of 5: expected: "done" but was: "it is not known whether the request ran" (3); Expected not same (1) idleConnectionIsClosedByBytesThatFollow, 2 of 2: TimeoutException

The decoder now reports unread bytes behind a decoded message, and such a connection is closed once the answer is complete. Bytes that arrive while no answer is expected close the connection without being buffered. HttpClientCodec is replaced by its two halves, because its decoder cannot be extended.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -8,7 +8,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
@@ -127,13 +128,15 @@
     }
 
     private void initializePipeline(Channel channel) {
+        TargetResponseDecoder decoder =
+                new TargetResponseDecoder(
+                        new HttpDecoderConfig()
+                                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                .setMaxChunkSize(MAX_CHUNK_BYTES));
         TargetConnection connection =
-                new TargetConnection(channel, mMemory, mTicker, mHeaderNames, mPool);
-        channel.pipeline()
-                .addLast(
-                        new HttpClientCodec(
-                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                .addLast(connection);
+                new TargetConnection(channel, decoder, mMemory, mTicker, mHeaderNames, mPool);
+        channel.pipeline().addLast(decoder).addLast(new HttpRequestEncoder()).addLast(connection);
     }
 
     private final class Pool implements TargetConnection.Pool {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -40,6 +40,7 @@
     }
 
     private final Channel mChannel;
+    private final TargetResponseDecoder mDecoder;
     private final BodyMemory mMemory;
     private final Ticker mTicker;
     private final HeaderNames mHeaderNames;
@@ -59,8 +60,14 @@
     private long mIdleSinceNanoseconds;
 
     TargetConnection(
-            Channel channel, BodyMemory memory, Ticker ticker, HeaderNames headerNames, Pool pool) {
+            Channel channel,
+            TargetResponseDecoder decoder,
+            BodyMemory memory,
+            Ticker ticker,
+            HeaderNames headerNames,
+            Pool pool) {
         mChannel = channel;
+        mDecoder = decoder;
         mHeaderNames = headerNames;
         mMemory = memory;
         mTicker = ticker;
@@ -90,6 +97,7 @@
         mInterimResponse = false;
         mNotExecuted = false;
         mRequestId = HeaderFields.find(request.headers(), mHeaderNames.requestId());
+        mDecoder.expectAnswer(isHeadRequest());
         mWriteFuture = mChannel.writeAndFlush(encode(request));
     }
 
@@ -101,6 +109,7 @@
     /** Closes the connection without an outcome for the request in flight. */
     void abort() {
         mListener = null;
+        mDecoder.endAnswer();
         discardBody();
         mChannel.close();
     }
@@ -224,13 +233,16 @@
                 isBodiless(status)
                         || HttpUtil.isTransferEncodingChunked(mResponse)
                         || HttpUtil.isContentLengthSet(mResponse);
+        // Bytes after the answer belong to no request and would precede the next answer.
         boolean keepAlive =
                 delimited
                         && !mDesynchronized
+                        && !mDecoder.hasUnreadBytes()
                         && HttpUtil.isKeepAlive(mResponse)
                         && mWriteFuture.isSuccess();
         mBody = null;
         mListener = null;
+        mDecoder.endAnswer();
         mRequest = null;
         mUsed = true;
         mIdleSinceNanoseconds = mTicker.nanoTime();
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetResponseDecoder.java
@@ -0,0 +1,59 @@
+package org.foxtailmoor.node.data;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
+
+/**
+ * Decodes the answers on a connection to the target and reports bytes that belong to none: bytes
+ * that arrive while no answer is expected close the connection.
+ */
+final class TargetResponseDecoder extends HttpResponseDecoder {
+    private boolean mExpectingAnswer;
+    private boolean mHeadRequest;
+    private boolean mUnreadBytes;
+
+    TargetResponseDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /**
+     * Starts to accept an answer.
+     *
+     * @param headRequest whether the answer has no body because it answers a HEAD request
+     */
+    void expectAnswer(boolean headRequest) {
+        mExpectingAnswer = true;
+        mHeadRequest = headRequest;
+    }
+
+    /** Ends the acceptance of an answer, because it is complete or no longer needed. */
+    void endAnswer() {
+        mExpectingAnswer = false;
+    }
+
+    /** Returns whether bytes have been received beyond the last decoded message. */
+    boolean hasUnreadBytes() {
+        return mUnreadBytes;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        if (!mExpectingAnswer) {
+            buffer.skipBytes(buffer.readableBytes());
+            context.close();
+            return;
+        }
+        super.decode(context, buffer, out);
+        mUnreadBytes = buffer.isReadable();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return mHeadRequest || super.isContentAlwaysEmpty(message);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
@@ -0,0 +1,128 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against targets that send bytes without end until the node closes the connection. */
+@Timeout(60)
+class TargetEndlessAnswerTest {
+    private static final int BODY_MEMORY_BYTES = 65_536;
+    private static final int DEADLINE_MILLISECONDS = 5_000;
+
+    /** Shorter than the idle timeout of connections to the target. */
+    private static final int MAX_CLOSE_SECONDS = 5;
+
+    private final TestFleet mFleet = new TestFleet();
+    private FakeTarget mTarget;
+    private TestFleet.Node mHome;
+    private RawCaller mCaller;
+
+    @BeforeEach
+    void start() throws Exception {
+        mTarget = new FakeTarget();
+        String memory = "body_memory_bytes = " + BODY_MEMORY_BYTES;
+        TestFleet.Node entry = mFleet.add("lookup-1", TestFleet.LOOKUPS, mTarget.address(), memory);
+        mHome = mFleet.add("order-1", TestFleet.ORDERS, mTarget.address(), memory);
+        mFleet.publish();
+        mCaller = new RawCaller(entry.data().callerAddress());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mCaller.close();
+        mFleet.close();
+        mTarget.close();
+    }
+
+    /** Guards against reuse of a connection that holds a part of what followed an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "nonsense", "HTTP/1.1 200 OK\r\n", "\r\n", "0\r\n\r\n"})
+    void connectionWithBytesAfterAnAnswerIsNotReused(String extra) throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        FakeTarget.Received first = mTarget.take();
+        first.send(EndlessAnswer.COMPLETE_ANSWER + extra);
+        assertThat(mCaller.read().body()).isEqualTo("done");
+        FakeTarget.Received second = assertNextRequestIsAnswered();
+        assertThat(second.socket()).isNotSameAs(first.socket());
+        mTarget.connectionClosed().get(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a failure that becomes a success behind the head that preceded it. */
+    @Test
+    void headAfterAnAnswerDoesNotBecomeTheNextAnswer() throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        mTarget.take().send(EndlessAnswer.COMPLETE_ANSWER + "HTTP/1.1 200 OK\r\na: ");
+        mCaller.read();
+        send(DEADLINE_MILLISECONDS);
+        mTarget.take().send(EndlessAnswer.COMPLETE_ANSWER.replace("200 OK", "500 x"));
+        assertThat(mCaller.read().status()).isEqualTo(500);
+    }
+
+    /** Guards against an idle connection that collects bytes until the next answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "\r\n"})
+    void idleConnectionIsClosedByBytesThatFollow(String extra) throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        FakeTarget.Received first = mTarget.take();
+        first.send(EndlessAnswer.COMPLETE_ANSWER);
+        assertThat(mCaller.read().body()).isEqualTo("done");
+        first.send(extra);
+        mTarget.connectionClosed().get(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
+        assertNextRequestIsAnswered();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            names = {"STATUS_LINE", "INTERIM_ANSWERS", "HEADER_LINES", "CHUNKS", "TRAILER_LINES"})
+    void slowEndlessAnswerEndsAtTheDeadline(EndlessAnswer kind) throws Exception {
+        send(200);
+        FakeTarget.Received received = mTarget.take();
+        received.send(kind.start() + kind.repeated());
+        RawCaller.Answer answer = mCaller.read();
+        assertThat(answer.status()).isEqualTo(504);
+        assertThat(answer.headers()).containsEntry("foxtailmoor-outcome", "unknown");
+        mTarget.connectionClosed().get(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
+        assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+        assertNextRequestIsAnswered();
+    }
+
+    @Test
+    void callerThatLeavesEndsASlowEndlessAnswer() throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        FakeTarget.Received received = mTarget.take();
+        received.send(EndlessAnswer.CHUNKS.start() + EndlessAnswer.CHUNKS.repeated());
+        mCaller.close();
+        mTarget.connectionClosed().get(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
+        assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+    }
+
+    private FakeTarget.Received assertNextRequestIsAnswered() throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        FakeTarget.Received received = mTarget.take();
+        received.send(EndlessAnswer.COMPLETE_ANSWER);
+        assertThat(mCaller.read().body()).isEqualTo("done");
+        return received;
+    }
+
+    private void send(int deadlineMilliseconds) throws Exception {
+        mCaller.send(
+                "GET /orders/1 HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: "
+                        + EndlessAnswer.REQUEST_ID
+                        + "\r\nFoxtailmoor-Deadline-Milliseconds: "
+                        + deadlineMilliseconds
+                        + "\r\n\r\n");
+    }
+
+    private long reservedBytes() {
+        return (Long)
+                mHome.metrics().getGauges().get("foxtailmoor.bodies.reserved_bytes").getValue();
+    }
+}
