Bound the bytes of a target's answer that are not its body

What callers saw: nothing until their deadline, while the node's event loop read and discarded at full speed what the target sent.

Cause: the HTTP codec bounds each line, head and trailer, and the body memory bounds the body, but nothing bounded interim answers, answers with the id of another request, their bodies, and chunk extensions in a chunked answer. They take no memory and were read until the deadline.

The connection now counts the bytes decoded for an answer. If more than 16 MiB of them are not its body, the request fails and the connection closes.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -30,6 +30,12 @@
     private static final int STATUS_MISDIRECTED = 421;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
+    /**
+     * Maximum number of bytes beside the body of an answer: heads, chunk sizes, trailers, interim
+     * answers and answers to other requests.
+     */
+    private static final long MAX_BYTES_BESIDE_BODY = 16L << 20;
+
     /** Receives changes of the connection state. */
     interface Pool {
         /** Called when an answer is complete and the connection can be reused. */
@@ -137,6 +143,16 @@
         }
     }
 
+    /** Fails the request in flight if the target sends too many bytes that are not its answer. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        int bodyBytes = mBody == null ? 0 : mBody.length();
+        if (mListener != null && mDecoder.decodedBytes() - bodyBytes > MAX_BYTES_BESIDE_BODY) {
+            fail("the target sends bytes without end that are not its answer", false);
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (mListener != null) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetResponseDecoder.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetResponseDecoder.java
@@ -15,6 +15,7 @@
     private boolean mExpectingAnswer;
     private boolean mHeadRequest;
     private boolean mUnreadBytes;
+    private long mDecodedBytes;
 
     TargetResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -28,6 +29,7 @@
     void expectAnswer(boolean headRequest) {
         mExpectingAnswer = true;
         mHeadRequest = headRequest;
+        mDecodedBytes = 0;
     }
 
     /** Ends the acceptance of an answer, because it is complete or no longer needed. */
@@ -40,6 +42,11 @@
         return mUnreadBytes;
     }
 
+    /** Returns the number of bytes that have been decoded for the expected answer. */
+    long decodedBytes() {
+        return mDecodedBytes;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
             throws Exception {
@@ -48,7 +55,9 @@
             context.close();
             return;
         }
+        int start = buffer.readerIndex();
         super.decode(context, buffer, out);
+        mDecodedBytes += buffer.readerIndex() - start;
         mUnreadBytes = buffer.isReadable();
     }
 
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -17,6 +17,7 @@
 /** HTTP/1.1 target on a real socket; the test answers each request individually. */
 final class FakeTarget implements AutoCloseable {
     private static final long WAIT_SECONDS = 10;
+    private static final int BLOCK_BYTES = 16_384;
 
     /** A completely received request. */
     record Received(
@@ -41,6 +42,30 @@
             }
         }
 
+        /**
+         * Sends a text and then repeats another one until the connection breaks or the limit is
+         * reached.
+         *
+         * @return bytes sent, less than the limit only if the connection broke
+         */
+        long sendWithoutEnd(String start, String repeated, long limitBytes) {
+            byte[] block =
+                    repeated.repeat(Math.max(1, BLOCK_BYTES / repeated.length()))
+                            .getBytes(StandardCharsets.UTF_8);
+            byte[] next = start.getBytes(StandardCharsets.UTF_8);
+            long sent = 0;
+            try {
+                while (sent < limitBytes) {
+                    socket.getOutputStream().write(next);
+                    sent += next.length;
+                    next = block;
+                }
+            } catch (IOException e) {
+                // The node has closed the connection.
+            }
+            return sent;
+        }
+
         /** Closes the connection with a TCP reset. */
         void resetConnection() {
             try {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
@@ -15,11 +15,15 @@
 @Timeout(60)
 class TargetEndlessAnswerTest {
     private static final int BODY_MEMORY_BYTES = 65_536;
+    private static final int SLOTS = 4;
     private static final int DEADLINE_MILLISECONDS = 5_000;
 
     /** Shorter than the idle timeout of connections to the target. */
     private static final int MAX_CLOSE_SECONDS = 5;
 
+    /** Covers the bytes that the node reads and the socket buffers of both sides. */
+    private static final long MAX_SENT_BYTES = 32L << 20;
+
     private final TestFleet mFleet = new TestFleet();
     private FakeTarget mTarget;
     private TestFleet.Node mHome;
@@ -42,6 +46,27 @@
         mTarget.close();
     }
 
+    /** Each answer is sent more often than the target has slots, on one connection of a caller. */
+    @ParameterizedTest
+    @EnumSource
+    void endlessAnswerClosesOnlyTheConnectionToTheTarget(EndlessAnswer kind) throws Exception {
+        for (int i = 0; i <= SLOTS; i++) {
+            send(DEADLINE_MILLISECONDS);
+            FakeTarget.Received received = mTarget.take();
+            assertThat(received.sendWithoutEnd(kind.start(), kind.repeated(), MAX_SENT_BYTES))
+                    .isLessThan(MAX_SENT_BYTES);
+            RawCaller.Answer answer = mCaller.read();
+            if (kind.isComplete()) {
+                assertThat(answer.status()).isEqualTo(200);
+                assertThat(answer.body()).isEqualTo("done");
+            } else {
+                assertThat(answer.headers()).containsEntry("foxtailmoor-error", "OUTCOME_UNKNOWN");
+            }
+            assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+        }
+        assertNextRequestIsAnswered();
+    }
+
     /** Guards against reuse of a connection that holds a part of what followed an answer. */
     @ParameterizedTest
     @ValueSource(strings = {"x", "nonsense", "HTTP/1.1 200 OK\r\n", "\r\n", "0\r\n\r\n"})
