Test callers and peers that send bytes without end

Guards the bounds that exist: request heads, chunk extensions, trailers and bodies on the caller port are refused and the connection is closed; a frame longer than the maximum closes the link. All cases pass on the code as it is.

--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CallerPortTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CallerPortTest.java
@@ -6,6 +6,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the caller port over real sockets: framing, limits, answer order and cancellation. */
 class CallerPortTest {
@@ -162,6 +164,32 @@
         assertThat(mCaller.isClosedByNode()).isTrue();
     }
 
+    /** Guards against a caller that sends bytes without end until the node closes. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "x",
+                "\r\n",
+                "GET /orders HTTP/1.1\r\na: |x",
+                "GET /orders HTTP/1.1\r\n|a: b\r\n",
+                "POST /orders HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n|1\r\nx\r\n",
+                "POST /orders HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;|x",
+                "POST /orders HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n|a: b\r\n",
+                "POST /nowhere HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n|1\r\nx\r\n",
+            })
+    void endlessRequestIsRefusedAndClosed(String text) throws Exception {
+        int split = text.indexOf('|');
+        String repeated = text.substring(split + 1);
+        mCaller.sendWithoutEnd(text.substring(0, Math.max(0, split)), repeated);
+        RawCaller.Answer answer = mCaller.read();
+        assertThat(answer.status()).isBetween(400, 503);
+        assertThat(answer.headers()).containsEntry("connection", "close");
+        assertThat(mCaller.isClosedByNode()).isTrue();
+        assertThat(mTarget.queuedRequests()).isZero();
+        assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
+        assertThat(mCaller.sendingEnded().get(10, TimeUnit.SECONDS)).isTrue();
+    }
+
     private long reservedBytes() {
         return (Long)
                 mNode.metrics().getGauges().get("foxtailmoor.bodies.reserved_bytes").getValue();
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
@@ -17,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the home node's end of a link at frame level. */
 class LinkServerHandlerTest {
@@ -136,6 +139,24 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
+    /** Guards against a peer that sends a frame without end: lengths that are no frame's. */
+    @ParameterizedTest
+    @ValueSource(longs = {Frames.MAX_FRAME_BYTES + 1, Integer.MAX_VALUE, 0xffff_ffffL})
+    void frameBeyondTheMaximumClosesTheLink(long length) {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        Frames.addHandlers(channel.pipeline());
+        channel.pipeline()
+                .addLast(new LinkServerHandler(channel, mHome, mMemory, mTicker, mServer));
+        ByteBuf frame = channel.alloc().buffer();
+        for (long rest = length; rest > 0; rest >>>= 7) {
+            frame.writeByte((int) (rest >>> 7 > 0 ? rest & 0x7f | 0x80 : rest));
+        }
+        frame.writeZero(Frames.CHUNK_BYTES);
+        channel.writeInbound(frame);
+        assertThat(channel.isOpen()).isFalse();
+        channel.finishAndReleaseAll();
+    }
+
     private void receiveStart(long stream, int bytes) {
         RequestStart start =
                 RequestStart.newBuilder()
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RawCaller.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/RawCaller.java
@@ -6,16 +6,19 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 /** Caller that reads and writes raw HTTP, for sequences that HTTP clients do not produce. */
 final class RawCaller implements AutoCloseable {
     private static final int READ_TIMEOUT_MILLISECONDS = 10_000;
+    private static final int BLOCK_BYTES = 16_384;
 
     /** An answer; the body is empty if the answer declares none. */
     record Answer(int status, Map<String, String> headers, String body) {}
 
     private final Socket mSocket = new Socket();
     private final InputStream mInput;
+    private final CompletableFuture<Boolean> mSendingEnded = new CompletableFuture<>();
 
     RawCaller(InetSocketAddress address) throws IOException {
         mSocket.connect(address);
@@ -29,6 +32,34 @@
         return this;
     }
 
+    /** Sends a text and then repeats another one, on a thread of its own, until the node closes. */
+    RawCaller sendWithoutEnd(String start, String repeated) {
+        byte[] block =
+                repeated.repeat(BLOCK_BYTES / repeated.length()).getBytes(StandardCharsets.UTF_8);
+        Thread sender =
+                new Thread(
+                        () -> {
+                            try {
+                                send(start);
+                                while (true) {
+                                    mSocket.getOutputStream().write(block);
+                                }
+                            } catch (IOException e) {
+                                // The node has closed the connection.
+                                mSendingEnded.complete(true);
+                            }
+                        },
+                        "raw-caller");
+        sender.setDaemon(true);
+        sender.start();
+        return this;
+    }
+
+    /** Returns a future that completes when {@link #sendWithoutEnd} has met a closed connection. */
+    CompletableFuture<Boolean> sendingEnded() {
+        return mSendingEnded;
+    }
+
     /** Reads an answer; the answer to a HEAD request has no body. */
     Answer read(boolean headRequest) throws IOException {
         HttpText text = HttpText.read(mInput, headRequest);
