--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
@@ -139,7 +139,7 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
-    /** Guards against a peer that sends a frame without end: lengths that are no frame's. */
+    /** Guards against buffering a frame that a peer never ends. */
     @ParameterizedTest
     @ValueSource(longs = {Frames.MAX_FRAME_BYTES + 1, Integer.MAX_VALUE, 0xffff_ffffL})
     void frameBeyondTheMaximumClosesTheLink(long length) {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
@@ -119,6 +119,14 @@
         assertNextRequestIsAnswered();
     }
 
+    @ParameterizedTest
+    @EnumSource(names = {"STATUS_LINE", "INTERIM_ANSWERS", "BODY_WITHOUT_LENGTH"})
+    void endlessAnswerToAnIdempotentRequestIsABadGateway(EndlessAnswer kind) throws Exception {
+        send("/racks/1", DEADLINE_MILLISECONDS);
+        mTarget.take().sendWithoutEnd(kind.start(), kind.repeated(), MAX_SENT_BYTES);
+        assertThat(mCaller.read().status()).isEqualTo(502);
+    }
+
     @Test
     void callerThatLeavesEndsASlowEndlessAnswer() throws Exception {
         send(DEADLINE_MILLISECONDS);
@@ -138,8 +146,14 @@
     }
 
     private void send(int deadlineMilliseconds) throws Exception {
+        send("/orders/1", deadlineMilliseconds);
+    }
+
+    private void send(String path, int deadlineMilliseconds) throws Exception {
         mCaller.send(
-                "GET /orders/1 HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: "
+                "GET "
+                        + path
+                        + " HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: "
                         + EndlessAnswer.REQUEST_ID
                         + "\r\nFoxtailmoor-Deadline-Milliseconds: "
                         + deadlineMilliseconds
