--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -30,6 +30,12 @@
     private static final int STATUS_MISDIRECTED = 421;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
+    /**
+     * Maximum number of bytes beside the body of an answer: heads, chunk sizes, trailers, interim
+     * answers and answers to other requests.
+     */
+    private static final long MAX_BYTES_BESIDE_BODY = 4L << 20;
+
     /** Receives changes of the connection state. */
     interface Pool {
         /** Called when an answer is complete and the connection can be reused. */
@@ -40,6 +46,7 @@
     }
 
     private final Channel mChannel;
+    private final TargetResponseDecoder mDecoder;
     private final BodyMemory mMemory;
     private final Ticker mTicker;
     private final HeaderNames mHeaderNames;
@@ -59,8 +66,14 @@
     private long mIdleSinceNanoseconds;
 
     TargetConnection(
-            Channel channel, BodyMemory memory, Ticker ticker, HeaderNames headerNames, Pool pool) {
+            Channel channel,
+            TargetResponseDecoder decoder,
+            BodyMemory memory,
+            Ticker ticker,
+            HeaderNames headerNames,
+            Pool pool) {
         mChannel = channel;
+        mDecoder = decoder;
         mHeaderNames = headerNames;
         mMemory = memory;
         mTicker = ticker;
@@ -90,6 +103,7 @@
         mInterimResponse = false;
         mNotExecuted = false;
         mRequestId = HeaderFields.find(request.headers(), mHeaderNames.requestId());
+        mDecoder.expectAnswer(isHeadRequest());
         mWriteFuture = mChannel.writeAndFlush(encode(request));
     }
 
@@ -101,6 +115,7 @@
     /** Closes the connection without an outcome for the request in flight. */
     void abort() {
         mListener = null;
+        mDecoder.endAnswer();
         discardBody();
         mChannel.close();
     }
@@ -128,6 +143,16 @@
         }
     }
 
+    /** Fails the request in flight if the target sends too many bytes that are not its answer. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        int bodyBytes = mBody == null ? 0 : mBody.length();
+        if (mListener != null && mDecoder.decodedBytes() - bodyBytes > MAX_BYTES_BESIDE_BODY) {
+            fail("the target sends bytes without end that are not its answer", false);
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (mListener != null) {
@@ -224,13 +249,16 @@
                 isBodiless(status)
                         || HttpUtil.isTransferEncodingChunked(mResponse)
                         || HttpUtil.isContentLengthSet(mResponse);
+        // Bytes after the answer belong to no request and would precede the next answer.
         boolean keepAlive =
                 delimited
                         && !mDesynchronized
+                        && !mDecoder.hasUnreadBytes()
                         && HttpUtil.isKeepAlive(mResponse)
                         && mWriteFuture.isSuccess();
         mBody = null;
         mListener = null;
+        mDecoder.endAnswer();
         mRequest = null;
         mUsed = true;
         mIdleSinceNanoseconds = mTicker.nanoTime();
