--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ConfigurationDistributionTest.java
@@ -0,0 +1,59 @@
+package org.foxtailmoor.core.source;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.foxtailmoor.core.source.SimulatedFleet.Result;
+import org.foxtailmoor.core.source.SimulatedFleet.Scenario;
+import org.foxtailmoor.core.source.SimulatedFleet.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Distribution of the platform's configuration to 83 nodes in two regions, in virtual time. */
+class ConfigurationDistributionTest {
+    private static final Size SIZE = new Size(83, 2, 225_000);
+    private static final double CONFIG_SECONDS = 3;
+    private static final double READY_SECONDS = 13;
+
+    /** Guards against nodes without a configuration when traffic starts 15 s after the machines. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void allNodesAreReadyBeforeTrafficStarts(long seed) {
+        checkAllReachedWithin(READY_SECONDS, seed, Scenario.START);
+    }
+
+    /** Guards against nodes that have no first configuration when traffic starts. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void firstConfigurationReachesAllNodesBeforeTrafficStarts(long seed) {
+        checkAllReachedWithin(READY_SECONDS - 1, seed, Scenario.FIRST_CONFIGURATION);
+    }
+
+    /** Guards against nodes that are without a configuration long after a restart of all. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void allNodesAreReadyAgainAfterARestartOfAll(long seed) {
+        checkAllReachedWithin(READY_SECONDS, seed, Scenario.RESTART);
+    }
+
+    /**
+     * Guards against old routes in force behind the link between regions after {@code config_s}.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void changeReachesNodesBehindTheLinkBetweenRegionsWithinTheBound(long seed) {
+        checkAllReachedWithin(CONFIG_SECONDS, seed, Scenario.CHANGE);
+    }
+
+    /** Guards against versions that are replaced at once and delay the last one of a storm. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void lastChangeOfAStormReachesAllNodesWithinTheBound(long seed) {
+        checkAllReachedWithin(CONFIG_SECONDS, seed, Scenario.STORM);
+    }
+
+    private static void checkAllReachedWithin(double bound, long seed, Scenario scenario) {
+        Result result = SimulatedFleet.measure(seed, SIZE, DirectNode::new, scenario);
+        assertThat(result.reached()).as("nodes reached, %s", result).isEqualTo(SIZE.nodes());
+        assertThat(result.lastSeconds()).as("seconds, %s", result).isLessThanOrEqualTo(bound);
+    }
+}
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedFleet.java
@@ -0,0 +1,279 @@
+package org.foxtailmoor.core.source;
+
+import com.google.protobuf.ByteString;
+import io.netty.util.concurrent.Ticker;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.foxtailmoor.core.source.SimulatedNetwork.Endpoint;
+import org.foxtailmoor.core.source.SimulatedNetwork.Payload;
+
+/**
+ * Nodes of one design, the store and the network between them. The store stands in the first
+ * region. Of seven nodes, one has a link of 100 Mbit/s and six have 7 Mbit/s. An entry of a server
+ * changes every 1 to 3 s.
+ */
+final class SimulatedFleet {
+    static final String CONFIGURATION_KEY = "op/config";
+
+    private static final int SERVER_BYTES = 250;
+    private static final double STORE_MEGABITS_PER_SECOND = 1_000;
+    private static final double FAST_MEGABITS_PER_SECOND = 100;
+    private static final double SLOW_MEGABITS_PER_SECOND = 7;
+    private static final int FAST_NODE_INTERVAL = 7;
+    private static final Duration START_SPREAD = Duration.ofMillis(300);
+    private static final Duration PREPARATION_START_SPREAD = Duration.ofSeconds(40);
+    private static final Duration PREPARATION = Duration.ofSeconds(60);
+    private static final Duration MEASUREMENT = Duration.ofSeconds(30);
+    private static final Duration STORM_INTERVAL = Duration.ofMillis(270);
+    private static final int STORM_CHANGES = 19;
+    private static final long MIN_SERVER_CHANGE_NANOSECONDS = Duration.ofSeconds(1).toNanos();
+    private static final long MAX_SERVER_CHANGE_NANOSECONDS = Duration.ofSeconds(3).toNanos();
+
+    /** Number of nodes and regions, and bytes of the configuration. */
+    record Size(int nodes, int regions, int configurationBytes) {}
+
+    /**
+     * Event that is measured. Before all but the first two, the nodes start one after another
+     * within 40 s, and the event follows 60 to 63 s after the first start.
+     */
+    enum Scenario {
+        /** All nodes start; the configuration is in the store. */
+        START,
+        /** All nodes start; the configuration is written 1 s later, and its time counts. */
+        FIRST_CONFIGURATION,
+        /** The configuration changes once. */
+        CHANGE,
+        /** The configuration changes each 0.27 s for 5 s; the time of the last change counts. */
+        STORM,
+        /** All nodes are killed and start again. */
+        RESTART
+    }
+
+    /**
+     * Figures of the 30 s from the event on. {@code lastSeconds} is the time until the last node
+     * holds all items and the newest configuration, or -1 if some never do. {@code ready} is the
+     * number of nodes that held all items before the event.
+     */
+    record Result(
+            Scenario scenario,
+            int ready,
+            int reached,
+            double medianSeconds,
+            double lastSeconds,
+            long calls,
+            int peakCallsPerSecond,
+            long regionBytes,
+            long busiestSlowLinkBytes) {}
+
+    private final SimulatedNetwork mNetwork = new SimulatedNetwork();
+    private final SimulatedStore mStore = new SimulatedStore(mNetwork);
+    private final SplittableRandom mRandom;
+    private final SimulatedNode.Factory mFactory;
+    private final ByteString mConfiguration;
+    private final Endpoint mStoreEndpoint;
+    private final List<Endpoint> mNodes = new ArrayList<>();
+    private final Process[] mProcesses;
+    private final long[] mReachedNanoseconds;
+    private long mExpectedRevision = 1;
+
+    private SimulatedFleet(long seed, Size size, SimulatedNode.Factory factory) {
+        mRandom = new SplittableRandom(seed);
+        mFactory = factory;
+        mConfiguration = ByteString.copyFrom(new byte[size.configurationBytes()]);
+        mStoreEndpoint = mNetwork.new Endpoint("store", "region-0", STORE_MEGABITS_PER_SECOND);
+        mStoreEndpoint.mHandler = mStore;
+        for (int node = 0; node < size.nodes(); node++) {
+            boolean fast = node % FAST_NODE_INTERVAL == 0;
+            mNodes.add(
+                    mNetwork
+                    .new Endpoint(
+                            "node-" + node,
+                            "region-" + node % size.regions(),
+                            fast ? FAST_MEGABITS_PER_SECOND : SLOW_MEGABITS_PER_SECOND));
+        }
+        mProcesses = new Process[size.nodes()];
+        mReachedNanoseconds = new long[size.nodes()];
+    }
+
+    /** Plays a scenario with a seed, which gives the same figures each time. */
+    static Result measure(long seed, Size size, SimulatedNode.Factory factory, Scenario scenario) {
+        return new SimulatedFleet(seed, size, factory).play(scenario);
+    }
+
+    private Result play(Scenario scenario) {
+        boolean start = scenario == Scenario.START || scenario == Scenario.FIRST_CONFIGURATION;
+        if (scenario != Scenario.FIRST_CONFIGURATION) {
+            mStore.put(CONFIGURATION_KEY, mConfiguration);
+        }
+        for (int node = 0; node < mNodes.size(); node++) {
+            putServer(node);
+        }
+        changeServers();
+        if (!start) {
+            startAll(PREPARATION_START_SPREAD);
+            mNetwork.run(PREPARATION.plusNanos(mRandom.nextLong(MAX_SERVER_CHANGE_NANOSECONDS)));
+        }
+        int ready = (int) Arrays.stream(mReachedNanoseconds).filter(time -> time > 0).count();
+        reset();
+        switch (scenario) {
+            case START -> startAll(START_SPREAD);
+            case FIRST_CONFIGURATION -> {
+                startAll(START_SPREAD);
+                mNetwork.run(Duration.ofSeconds(1));
+                changeConfiguration();
+            }
+            case CHANGE -> changeConfiguration();
+            case STORM -> {
+                for (int change = 1; change < STORM_CHANGES; change++) {
+                    changeConfiguration();
+                    mNetwork.run(STORM_INTERVAL);
+                }
+                changeConfiguration();
+            }
+            case RESTART -> {
+                mNodes.forEach(mNetwork::shutDown);
+                startAll(START_SPREAD);
+            }
+            default -> throw new IllegalArgumentException(scenario.name());
+        }
+        long event = mNetwork.ticker().nanoTime();
+        mNetwork.run(MEASUREMENT);
+        return result(scenario, ready, event);
+    }
+
+    private Result result(Scenario scenario, int ready, long event) {
+        double[] seconds =
+                Arrays.stream(mReachedNanoseconds)
+                        .filter(time -> time > 0)
+                        .mapToDouble(time -> (time - event) / 1e9)
+                        .sorted()
+                        .toArray();
+        boolean all = seconds.length == mNodes.size();
+        return new Result(
+                scenario,
+                ready,
+                seconds.length,
+                seconds.length > mNodes.size() / 2 ? seconds[mNodes.size() / 2] : -1,
+                all ? seconds[seconds.length - 1] : -1,
+                mStore.calls(),
+                mStore.peakCallsPerSecond(),
+                mNetwork.regionBytes(),
+                mNodes.stream()
+                        .filter(node -> mNodes.indexOf(node) % FAST_NODE_INTERVAL != 0)
+                        .mapToLong(node -> Math.max(node.mUp.mSentBytes, node.mDown.mSentBytes))
+                        .max()
+                        .orElse(0));
+    }
+
+    private void reset() {
+        Arrays.fill(mReachedNanoseconds, 0);
+        mStore.resetCalls();
+        mNetwork.resetRegionBytes();
+        for (Endpoint node : mNodes) {
+            node.mUp.mSentBytes = 0;
+            node.mDown.mSentBytes = 0;
+        }
+    }
+
+    private void startAll(Duration spread) {
+        for (int node = 0; node < mNodes.size(); node++) {
+            Process process = new Process(node);
+            mProcesses[node] = process;
+            mNetwork.schedule(mRandom.nextLong(spread.toNanos()), process::start);
+        }
+    }
+
+    private void changeConfiguration() {
+        Arrays.fill(mReachedNanoseconds, 0);
+        mExpectedRevision = mStore.put(CONFIGURATION_KEY, mConfiguration);
+    }
+
+    private void changeServers() {
+        long delay = mRandom.nextLong(MIN_SERVER_CHANGE_NANOSECONDS, MAX_SERVER_CHANGE_NANOSECONDS);
+        mNetwork.schedule(
+                delay,
+                () -> {
+                    putServer(mRandom.nextInt(mNodes.size()));
+                    changeServers();
+                });
+    }
+
+    private void putServer(int node) {
+        mStore.put("servers/i-" + node, ByteString.copyFrom(new byte[SERVER_BYTES]));
+    }
+
+    private final class Process implements SimulatedNode.Context {
+        private final int mIndex;
+        private final RandomGenerator mProcessRandom = mRandom.split();
+        private SimulatedNode mNode;
+
+        Process(int index) {
+            mIndex = index;
+        }
+
+        private void start() {
+            mNode = mFactory.create(this);
+            self().mHandler = mNode;
+            mNode.start();
+        }
+
+        private boolean isRunning() {
+            return mProcesses[mIndex] == this;
+        }
+
+        @Override
+        public Ticker ticker() {
+            return mNetwork.ticker();
+        }
+
+        @Override
+        public RandomGenerator random() {
+            return mProcessRandom;
+        }
+
+        @Override
+        public Endpoint self() {
+            return mNodes.get(mIndex);
+        }
+
+        @Override
+        public Endpoint store() {
+            return mStoreEndpoint;
+        }
+
+        @Override
+        public List<Endpoint> nodes() {
+            return mNodes;
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable task) {
+            mNetwork.schedule(
+                    delay.toNanos(),
+                    () -> {
+                        if (isRunning()) {
+                            task.run();
+                        }
+                    });
+        }
+
+        @Override
+        public void request(
+                Endpoint to, Payload request, Duration timeout, Consumer<Payload> callback) {
+            mNetwork.request(self(), to, request, timeout, callback);
+        }
+
+        @Override
+        public void onState(boolean complete, long configurationRevision) {
+            boolean reached = complete && configurationRevision >= mExpectedRevision;
+            if (reached && mReachedNanoseconds[mIndex] == 0) {
+                mReachedNanoseconds[mIndex] = ticker().nanoTime();
+            }
+        }
+    }
+}
