Play twelve seeds of the distribution of a configuration

Cause: with seeds 1 to 3 a single change reached all nodes within the bound of 3 s; seeds 4 to 12 showed that this depends on how long the watches have waited when the change comes. A watch that began more than 1.3 s before is given up before the bytes have crossed the link between regions, and everything is sent again.

Change: all five tests of ConfigurationDistributionTest play seeds 1 to 12. Model and bounds are as before.

--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ConfigurationDistributionTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ConfigurationDistributionTest.java
@@ -16,21 +16,21 @@
 
     /** Guards against nodes without a configuration when traffic starts 15 s after the machines. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void allNodesAreReadyBeforeTrafficStarts(long seed) {
         checkAllReachedWithin(READY_SECONDS, seed, Scenario.START);
     }
 
     /** Guards against nodes that have no first configuration when traffic starts. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void firstConfigurationReachesAllNodesBeforeTrafficStarts(long seed) {
         checkAllReachedWithin(READY_SECONDS - 1, seed, Scenario.FIRST_CONFIGURATION);
     }
 
     /** Guards against nodes that are without a configuration long after a restart of all. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void allNodesAreReadyAgainAfterARestartOfAll(long seed) {
         checkAllReachedWithin(READY_SECONDS, seed, Scenario.RESTART);
     }
@@ -39,14 +39,14 @@
      * Guards against old routes in force behind the link between regions after {@code config_s}.
      */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void changeReachesNodesBehindTheLinkBetweenRegionsWithinTheBound(long seed) {
         checkAllReachedWithin(CONFIG_SECONDS, seed, Scenario.CHANGE);
     }
 
     /** Guards against versions that are replaced at once and delay the last one of a storm. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void lastChangeOfAStormReachesAllNodesWithinTheBound(long seed) {
         checkAllReachedWithin(CONFIG_SECONDS, seed, Scenario.STORM);
     }
