Lower the bound of bytes beside a target's answer to 4 MiB

Five requests that each read 16 MiB of interim answers took 7.7 s in TargetEndlessAnswerTest on a busy machine (load average 24), most of it work of the one event loop by assumption; the loop's delay was not measured.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -34,7 +34,7 @@
      * Maximum number of bytes beside the body of an answer: heads, chunk sizes, trailers, interim
      * answers and answers to other requests.
      */
-    private static final long MAX_BYTES_BESIDE_BODY = 16L << 20;
+    private static final long MAX_BYTES_BESIDE_BODY = 4L << 20;
 
     /** Receives changes of the connection state. */
     interface Pool {
