--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/ItemStore.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/ItemStore.java
@@ -45,6 +45,12 @@
      */
     CompletableFuture<Page> list(String afterKey);
 
+    /**
+     * Lists the first instances, which may be outdated. The listing does not have the catalogue, so
+     * that many nodes that start at the same time can afford it.
+     */
+    CompletableFuture<Page> listInstances();
+
     /**
      * Waits for changes after a revision.
      *
--- /dev/null
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
@@ -0,0 +1,248 @@
+package org.foxtailmoor.core.source;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Function;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.protocol.generated.ItemBatch;
+import org.foxtailmoor.protocol.generated.ItemChange;
+import org.foxtailmoor.protocol.generated.ItemDelta;
+
+/** Converts batches of store items to and from deflated messages. */
+public final class StoreItemBatchCodec {
+    /**
+     * Maximum size of a batch in bytes. Applies to the message before it is deflated and to the sum
+     * of the items' values.
+     */
+    public static final int MAX_BATCH_BYTES = 16 * 1_024 * 1_024;
+
+    /** Size in bytes above which a value is sent as a delta if the receiver has a base. */
+    public static final int DELTA_THRESHOLD_BYTES = 4_096;
+
+    private static final int DEFLATE_LEVEL = 3;
+    private static final int BUFFER_BYTES = 16_384;
+    private static final Duration ROUND_UP_TO_MILLISECOND = Duration.ofNanos(999_999);
+
+    private StoreItemBatchCodec() {}
+
+    /**
+     * Encodes a batch. The recovery grace is rounded up to milliseconds.
+     *
+     * @param batch batch to encode, not null
+     * @param baseItems returns the version of an item that the receiver is believed to hold, by
+     *     key, or null if none is known
+     * @throws IllegalArgumentException if the batch exceeds {@link #MAX_BATCH_BYTES}
+     */
+    public static ByteString encode(StoreItemBatch batch, Function<String, StoreItem> baseItems) {
+        Objects.requireNonNull(baseItems, "baseItems");
+        ItemBatch.Builder message =
+                ItemBatch.newBuilder()
+                        .setRevision(batch.revision())
+                        .setComplete(batch.complete())
+                        .setRecoveryGraceMilliseconds(
+                                (int)
+                                        batch.recoveryGrace()
+                                                .plus(ROUND_UP_TO_MILLISECOND)
+                                                .toMillis());
+        long valueBytes = 0;
+        for (StoreItem item : batch.items()) {
+            valueBytes += item.isRemoved() ? 0 : item.value().size();
+            requireWithinLimit(valueBytes);
+            message.addItems(toChange(item, baseItems));
+        }
+        ItemBatch built = message.build();
+        requireWithinLimit(built.getSerializedSize());
+        return deflate(built.toByteArray());
+    }
+
+    /**
+     * Decodes a batch. A change that is not newer than the held item is skipped; in a complete
+     * batch the held item takes its place, so that the batch still has every item.
+     *
+     * @param bytes result of {@link #encode}, not null
+     * @param heldItems returns the version of an item that the receiver holds, by key, or null if
+     *     it holds none
+     * @throws FoxtailmoorException of kind PLATFORM_HISTORY_LOST if the receiver does not hold the
+     *     base of a delta, of kind PLATFORM_UNAVAILABLE if the message is malformed or exceeds
+     *     {@link #MAX_BATCH_BYTES}
+     */
+    public static StoreItemBatch decode(ByteString bytes, Function<String, StoreItem> heldItems) {
+        Objects.requireNonNull(heldItems, "heldItems");
+        ItemBatch message = parse(inflate(bytes));
+        List<StoreItem> items = new ArrayList<>(message.getItemsCount());
+        int remainingBytes = MAX_BATCH_BYTES;
+        for (ItemChange change : message.getItemsList()) {
+            requireValid(change);
+            StoreItem held = heldItems.apply(change.getKey());
+            if (held == null || held.revision() < change.getRevision()) {
+                StoreItem item = toItem(change, held, remainingBytes);
+                remainingBytes -= item.isRemoved() ? 0 : item.value().size();
+                items.add(item);
+            } else if (message.getComplete()) {
+                items.add(held);
+            }
+        }
+        return new StoreItemBatch(
+                items,
+                message.getRevision(),
+                message.getComplete(),
+                Duration.ofMillis(message.getRecoveryGraceMilliseconds()));
+    }
+
+    private static ItemChange toChange(StoreItem item, Function<String, StoreItem> baseItems) {
+        if (item.revision() < 0) {
+            throw new IllegalArgumentException("negative revision of " + item.key());
+        }
+        ItemChange.Builder change =
+                ItemChange.newBuilder().setKey(item.key()).setRevision(item.revision());
+        if (item.isRemoved()) {
+            return change.setRemoved(true).build();
+        }
+        ItemDelta delta = toDelta(item, baseItems);
+        return delta == null
+                ? change.setValue(item.value()).build()
+                : change.setDelta(delta).build();
+    }
+
+    /** Returns the delta to send in place of a value, or null if the value is to be sent. */
+    private static ItemDelta toDelta(StoreItem item, Function<String, StoreItem> baseItems) {
+        if (item.value().size() <= DELTA_THRESHOLD_BYTES) {
+            return null;
+        }
+        StoreItem base = baseItems.apply(item.key());
+        if (base == null || base.isRemoved()) {
+            return null;
+        }
+        ItemDelta delta =
+                ItemDelta.newBuilder()
+                        .setBaseRevision(base.revision())
+                        .setEdits(ByteDelta.encode(base.value(), item.value()))
+                        .build();
+        return delta.getSerializedSize() < item.value().size() ? delta : null;
+    }
+
+    private static StoreItem toItem(ItemChange change, StoreItem held, int maxBytes) {
+        return switch (change.getContentCase()) {
+            case REMOVED -> StoreItem.removed(change.getKey(), change.getRevision());
+            case VALUE -> {
+                if (change.getValue().size() > maxBytes) {
+                    throw malformed("the values exceed " + MAX_BATCH_BYTES + " bytes", null);
+                }
+                yield new StoreItem(change.getKey(), change.getRevision(), change.getValue());
+            }
+            case DELTA -> {
+                ItemDelta delta = change.getDelta();
+                boolean missing =
+                        held == null
+                                || held.isRemoved()
+                                || held.revision() != delta.getBaseRevision();
+                if (missing) {
+                    throw FoxtailmoorException.of(
+                            ErrorKind.PLATFORM_HISTORY_LOST,
+                            "revision "
+                                    + Long.toUnsignedString(delta.getBaseRevision())
+                                    + " of "
+                                    + change.getKey()
+                                    + " is needed as base and not held");
+                }
+                ByteString value = ByteDelta.apply(held.value(), delta.getEdits(), maxBytes);
+                yield new StoreItem(change.getKey(), change.getRevision(), value);
+            }
+            case CONTENT_NOT_SET -> throw malformed(change.getKey() + " has no content", null);
+        };
+    }
+
+    private static ItemBatch parse(ByteString bytes) {
+        ItemBatch message;
+        try {
+            message = ItemBatch.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw malformed(e.getMessage(), e);
+        }
+        if (message.getRevision() < 0) {
+            throw malformed("revision out of range", null);
+        }
+        if (message.getRecoveryGraceMilliseconds() < 0) {
+            throw malformed("recovery grace out of range", null);
+        }
+        return message;
+    }
+
+    private static void requireValid(ItemChange change) {
+        if (change.getRevision() < 0) {
+            throw malformed("revision of " + change.getKey() + " out of range", null);
+        }
+        boolean withoutContent =
+                switch (change.getContentCase()) {
+                    case REMOVED -> !change.getRemoved();
+                    case VALUE, DELTA -> false;
+                    case CONTENT_NOT_SET -> true;
+                };
+        if (withoutContent) {
+            throw malformed(change.getKey() + " has no content", null);
+        }
+    }
+
+    private static void requireWithinLimit(long bytes) {
+        if (bytes > MAX_BATCH_BYTES) {
+            throw new IllegalArgumentException(
+                    "batch of " + bytes + " bytes exceeds the limit of " + MAX_BATCH_BYTES);
+        }
+    }
+
+    private static ByteString deflate(byte[] bytes) {
+        Deflater deflater = new Deflater(DEFLATE_LEVEL, true);
+        try {
+            deflater.setInput(bytes);
+            deflater.finish();
+            ByteString.Output output = ByteString.newOutput();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                output.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return output.toByteString();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static ByteString inflate(ByteString bytes) {
+        Inflater inflater = new Inflater(true);
+        try {
+            inflater.setInput(bytes.toByteArray());
+            ByteString.Output output = ByteString.newOutput();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!inflater.finished()) {
+                int count = inflater.inflate(buffer);
+                if (count == 0 && !inflater.finished()) {
+                    throw malformed("the deflated stream is cut off", null);
+                }
+                if (count > MAX_BATCH_BYTES - output.size()) {
+                    throw malformed("inflates to over " + MAX_BATCH_BYTES + " bytes", null);
+                }
+                output.write(buffer, 0, count);
+            }
+            if (inflater.getRemaining() > 0) {
+                throw malformed("bytes follow the deflated stream", null);
+            }
+            return output.toByteString();
+        } catch (DataFormatException e) {
+            throw malformed(e.getMessage(), e);
+        } finally {
+            inflater.end();
+        }
+    }
+
+    private static FoxtailmoorException malformed(String reason, Throwable cause) {
+        return FoxtailmoorException.of(
+                ErrorKind.PLATFORM_UNAVAILABLE, "malformed batch of store items: " + reason, cause);
+    }
+}
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
@@ -91,6 +91,11 @@
         return mCatalogueLabel;
     }
 
+    /** Returns the instances that are known, in any order. */
+    public List<Instance> instances() {
+        return mInstances.values().stream().map(InstanceRecord::instance).toList();
+    }
+
     /** Builds a snapshot of the current state that is newer than every earlier one. */
     public RoutingSnapshot snapshot() {
         mSnapshotNumber++;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
@@ -2,31 +2,17 @@
 
 import io.netty.util.concurrent.Ticker;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
- * Keeps a local copy of a store by listing and watching it, and schedules these calls. Confined to
- * the control loop.
- *
- * <p>Changes are ordered by the revision of each item; responses with older revisions are ignored.
- * A removed item is kept for a grace period, because entries of live targets expire while the store
- * is unavailable and are written again soon after it recovers.
+ * Schedules the calls that read a store directly, and applies their results to a {@link StoreCopy}.
+ * Confined to the control loop.
  */
 public final class StoreWatcher {
-    /**
-     * Time after the store recovers for which missing items are kept. Live targets write the
-     * entries that expired during the outage again within this time.
-     */
-    public static final long RECOVERY_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_200);
-
     /** Size above which a response counts as a large change; bursts of these are coalesced. */
     public static final int LARGE_CHANGE_BYTES = 32_768;
 
@@ -37,6 +23,9 @@
     private static final long MAX_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final int MAX_SHIFT = 10;
 
+    /** Entries do not expire during a shorter outage, so that it needs no recovery grace. */
+    private static final long MIN_OUTAGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** Call to the store. */
     public sealed interface Call {
         /** Lists the items after a key. */
@@ -48,49 +37,41 @@
 
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
-    private final long mRemovalGraceNanoseconds;
+    private final StoreCopy mCopy;
     private final long mBurstPauseNanoseconds;
-    private final Map<String, StoreItem> mItems = new TreeMap<>();
-    private final Map<String, Long> mRemovedRevisions = new HashMap<>();
-    private final Map<String, Long> mExpiryTimes = new LinkedHashMap<>();
-    private final Set<String> mChangedKeys = new HashSet<>();
     private Set<String> mListedKeys = new HashSet<>();
     private String mListAfter = "";
-    private boolean mListing = true;
-    private boolean mComplete;
+    private boolean mListing;
     private boolean mCallOpen;
     private long mListRevision;
-    private long mRevision;
+    private long mListNanoseconds;
     private int mFailures;
+    private long mFailingSinceNanoseconds;
     private long mNextCallNanoseconds;
-    private long mRecoveryEndNanoseconds;
-    private long mLastResponseNanoseconds;
     private boolean mLargeChangeSeen;
     private long mLargeChangeNanoseconds;
 
     private StoreWatcher(
-            Ticker ticker, RandomGenerator random, Duration removalGrace, Duration burstPause) {
+            Ticker ticker, RandomGenerator random, StoreCopy copy, Duration burstPause) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
         mRandom = Objects.requireNonNull(random, "random");
-        mRemovalGraceNanoseconds = removalGrace.toNanos();
+        mCopy = Objects.requireNonNull(copy, "copy");
         mBurstPauseNanoseconds = burstPause.toNanos();
         mNextCallNanoseconds = ticker.nanoTime();
-        mRecoveryEndNanoseconds = ticker.nanoTime();
-        mLastResponseNanoseconds = ticker.nanoTime();
     }
 
     /**
-     * Creates a watcher without items.
+     * Creates a watcher.
      *
      * @param ticker clock, not null
      * @param random source of randomness for backoffs, not null
-     * @param removalGrace time for which a removed item is kept
+     * @param copy copy that receives the results, not null
      * @param burstPause time without calls after a burst of large changes; must be well below the
      *     time limit for a change to take effect
      */
     public static StoreWatcher of(
-            Ticker ticker, RandomGenerator random, Duration removalGrace, Duration burstPause) {
-        return new StoreWatcher(ticker, random, removalGrace, burstPause);
+            Ticker ticker, RandomGenerator random, StoreCopy copy, Duration burstPause) {
+        return new StoreWatcher(ticker, random, copy, burstPause);
     }
 
     /** Returns the call to make now, or null if one is pending or none is due. */
@@ -99,7 +80,10 @@
             return null;
         }
         mCallOpen = true;
-        return mListing ? new Call.ListAfter(mListAfter) : new Call.WatchAfter(mRevision);
+        if (!mCopy.isComplete()) {
+            mListing = true;
+        }
+        return mListing ? new Call.ListAfter(mListAfter) : new Call.WatchAfter(mCopy.revision());
     }
 
     /** Applies a page of a listing. */
@@ -108,35 +92,29 @@
         if (mListAfter.isEmpty()) {
             mListedKeys = new HashSet<>();
             mListRevision = page.revision();
+            mListNanoseconds = mTicker.nanoTime();
         }
         for (StoreItem item : page.items()) {
             mListedKeys.add(item.key());
             mListAfter = item.key();
-            apply(item);
+            mCopy.apply(item);
         }
         if (page.more() && !page.items().isEmpty()) {
             return;
         }
         mListing = false;
         mListAfter = "";
-        mComplete = true;
-        mRevision = Math.max(mRevision, mListRevision);
-        for (StoreItem item : mItems.values()) {
-            boolean older = item.revision() <= mListRevision;
-            if (older && !mListedKeys.contains(item.key())) {
-                scheduleExpiry(item.key());
-            }
-        }
+        mCopy.completeListing(mListedKeys, mListRevision);
+        mCopy.confirm(mListNanoseconds);
     }
 
     /** Applies the response to a watch. */
     public void onChanges(ItemStore.Changes changes) {
         onSuccess();
-        for (StoreItem item : changes.items()) {
-            apply(item);
-            mRevision = Math.max(mRevision, item.revision());
-        }
-        mRevision = Math.max(mRevision, changes.revision());
+        changes.items().forEach(mCopy::apply);
+        changes.items().forEach(item -> mCopy.advanceTo(item.revision()));
+        mCopy.advanceTo(changes.revision());
+        mCopy.confirm(mTicker.nanoTime());
         if (isLarge(changes)) {
             coalesceBurst();
         }
@@ -153,6 +131,9 @@
                 Math.min(
                         BASE_BACKOFF_NANOSECONDS << Math.min(mFailures, MAX_SHIFT),
                         MAX_BACKOFF_NANOSECONDS);
+        if (mFailures == 0) {
+            mFailingSinceNanoseconds = mTicker.nanoTime();
+        }
         mFailures++;
         long delay = historyLost ? 0 : ceiling / 2 + mRandom.nextLong(ceiling / 2 + 1);
         mNextCallNanoseconds = mTicker.nanoTime() + delay;
@@ -162,47 +143,17 @@
         }
     }
 
-    /** Removes items whose grace period has ended. */
-    public void tick() {
-        long now = mTicker.nanoTime();
-        mExpiryTimes
-                .entrySet()
-                .removeIf(
-                        expiry -> {
-                            boolean passed = now - expiry.getValue() >= 0;
-                            if (passed) {
-                                mItems.remove(expiry.getKey());
-                                mChangedKeys.add(expiry.getKey());
-                            }
-                            return passed;
-                        });
-    }
-
-    /** Returns and clears the keys that changed since the last call. */
-    public Set<String> takeChangedKeys() {
-        Set<String> changed = Set.copyOf(mChangedKeys);
-        mChangedKeys.clear();
-        return changed;
-    }
-
-    /** Returns the item with a key, or null if absent. */
-    public StoreItem item(String key) {
-        return mItems.get(key);
-    }
-
-    /** Returns whether a complete listing has been read. */
-    public boolean isComplete() {
-        return mComplete;
-    }
-
     /** Returns whether the last call failed. */
     public boolean isFailing() {
         return mFailures > 0;
     }
 
-    /** Returns the time since the last response of the store. */
-    public long nanosecondsSinceLastResponse() {
-        return mTicker.nanoTime() - mLastResponseNanoseconds;
+    /** Continues with a watch instead of a listing, because the copy was completed by a peer. */
+    public void resumeWatching() {
+        if (!mCallOpen && mCopy.isComplete()) {
+            mListing = false;
+            mListAfter = "";
+        }
     }
 
     private static boolean isLarge(ItemStore.Changes changes) {
@@ -232,50 +183,12 @@
     }
 
     private void onSuccess() {
-        long now = mTicker.nanoTime();
         mCallOpen = false;
-        mLastResponseNanoseconds = now;
-        if (mFailures > 0) {
-            mRecoveryEndNanoseconds = now + RECOVERY_GRACE_NANOSECONDS;
-            // The recovery grace also applies to items that were removed before the store
-            // recovered.
-            mExpiryTimes.replaceAll((key, expiry) -> later(expiry, mRecoveryEndNanoseconds));
+        long now = mTicker.nanoTime();
+        if (mFailures > 0 && now - mFailingSinceNanoseconds >= MIN_OUTAGE_NANOSECONDS) {
+            mCopy.extendRecovery(StoreCopy.RECOVERY_GRACE_NANOSECONDS);
         }
         mFailures = 0;
         mNextCallNanoseconds = now;
     }
-
-    private void apply(StoreItem item) {
-        StoreItem held = mItems.get(item.key());
-        long known =
-                Math.max(
-                        held == null ? 0 : held.revision(),
-                        mRemovedRevisions.getOrDefault(item.key(), 0L));
-        if (item.revision() < known) {
-            return;
-        }
-        if (item.isRemoved()) {
-            mRemovedRevisions.put(item.key(), item.revision());
-            if (held != null) {
-                scheduleExpiry(item.key());
-            }
-            return;
-        }
-        mExpiryTimes.remove(item.key());
-        mRemovedRevisions.remove(item.key());
-        if (held == null || item.revision() > held.revision()) {
-            mItems.put(item.key(), item);
-            mChangedKeys.add(item.key());
-        }
-    }
-
-    private void scheduleExpiry(String key) {
-        long grace = mTicker.nanoTime() + mRemovalGraceNanoseconds;
-        mExpiryTimes.putIfAbsent(key, later(grace, mRecoveryEndNanoseconds));
-    }
-
-    /** Returns the later of two ticker times; comparing the difference tolerates overflow. */
-    private static long later(long first, long second) {
-        return first - second >= 0 ? first : second;
-    }
 }
--- /dev/null
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
@@ -0,0 +1,262 @@
+package org.foxtailmoor.core.source;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.core.source.SimulatedNetwork.Endpoint;
+import org.foxtailmoor.core.source.SimulatedNetwork.Payload;
+import org.foxtailmoor.core.source.SimulatedNetwork.Timeouts;
+import org.foxtailmoor.protocol.generated.Instance;
+import org.foxtailmoor.protocol.generated.ItemResponse;
+
+/**
+ * Node that reads through other nodes, as {@code StoreControl} and {@code PeerFeed} do with the
+ * timeouts of {@code PlatformStore}, {@code HttpPeerItems} and {@code PlatformNodeMain}.
+ */
+final class ReplicaNode implements SimulatedNode {
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+    private static final Duration WAIT = Duration.ofMillis(600);
+    private static final Duration MAX_AGE = Duration.ofMillis(1_350);
+    private static final Duration REMOVAL_GRACE = Duration.ofMillis(1_200);
+    private static final Duration BURST_PAUSE = Duration.ofMillis(600);
+    private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_200);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration PEER_STALL_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(10);
+    private static final int HEAD_BYTES = 200;
+
+    private record PeerRequest(long afterRevision) {}
+
+    private record Reader(long afterRevision, long endNanoseconds, Consumer<Payload> responder) {}
+
+    /** Response of a node that does not have all items. */
+    private enum Status {
+        NOT_READY
+    }
+
+    private final Context mContext;
+    private final UnaryOperator<StoreItem> mShared;
+    private final StoreReplica mReplica;
+    private final Map<String, Instance> mInstances = new TreeMap<>();
+    private final Map<Long, ByteString> mEncodedBatches = new HashMap<>();
+    private List<Reader> mReaders = new ArrayList<>();
+    private boolean mCurrent;
+
+    private ReplicaNode(Context context, UnaryOperator<StoreItem> shared) {
+        mContext = context;
+        mShared = shared;
+        mReplica =
+                StoreReplica.builder()
+                        .setTicker(context.ticker())
+                        .setRandom(context.random())
+                        .setLocation(context.self().mName, context.self().mRegion)
+                        .setRemovalGrace(REMOVAL_GRACE)
+                        .setBurstPause(BURST_PAUSE)
+                        .setMaxAge(MAX_AGE)
+                        .build();
+    }
+
+    /** Returns a factory for one fleet, whose nodes share equal items to save memory. */
+    static Factory factory() {
+        Map<String, StoreItem> latest = new HashMap<>();
+        return context ->
+                new ReplicaNode(
+                        context,
+                        item -> {
+                            if (item.equals(latest.get(item.key()))) {
+                                return latest.get(item.key());
+                            }
+                            latest.put(item.key(), item);
+                            return item;
+                        });
+    }
+
+    @Override
+    public void start() {
+        mReplica.copy().tick();
+        tickFeed();
+        publish();
+        startNextCall();
+        mContext.schedule(TICK_INTERVAL, this::start);
+    }
+
+    @Override
+    public void onRequest(Payload request, Consumer<Payload> responder) {
+        long afterRevision = ((PeerRequest) request.content()).afterRevision();
+        Reader reader = new Reader(afterRevision, now() + WAIT.toNanos(), responder);
+        if (mReplica.copy().isComplete() && mReplica.copy().revision() > afterRevision) {
+            respond(reader);
+        } else {
+            mReaders.add(reader);
+        }
+    }
+
+    private long now() {
+        return mContext.ticker().nanoTime();
+    }
+
+    private void startNextCall() {
+        StoreReplica.Call call = mReplica.nextCall();
+        if (call instanceof StoreReplica.Call.FindPeers) {
+            readStore(new SimulatedStore.InstancesRequest(), STORE_TIMEOUT);
+        } else if (call instanceof StoreReplica.Call.ReadStore read) {
+            boolean watch = read.call() instanceof StoreWatcher.Call.WatchAfter;
+            readStore(
+                    new SimulatedStore.Request(read.call(), WAIT),
+                    watch ? WAIT.plus(STORE_TIMEOUT) : STORE_TIMEOUT);
+        } else if (call instanceof StoreReplica.Call.ReadPeer read) {
+            Duration timeout = WAIT.plus(PEER_TIMEOUT);
+            mContext.request(
+                    endpoint(read.host()),
+                    new Payload(
+                            new PeerRequest(read.afterRevision()), SimulatedStore.REQUEST_BYTES),
+                    new Timeouts(timeout, PEER_STALL_TIMEOUT, timeout.plus(TRANSFER_TIMEOUT)),
+                    response -> onResponse(call, response));
+        }
+    }
+
+    private void readStore(Object request, Duration timeout) {
+        boolean findPeers = request instanceof SimulatedStore.InstancesRequest;
+        mContext.request(
+                mContext.store(),
+                new Payload(request, SimulatedStore.REQUEST_BYTES),
+                new Timeouts(timeout, STORE_TIMEOUT, timeout.plus(TRANSFER_TIMEOUT)),
+                response ->
+                        onResponse(findPeers ? new StoreReplica.Call.FindPeers() : null, response));
+    }
+
+    private Endpoint endpoint(String host) {
+        return mContext.nodes().get(Integer.parseInt(host.substring(host.indexOf('-') + 1)));
+    }
+
+    private void onResponse(StoreReplica.Call call, Payload response) {
+        Object content = response == null ? null : response.content();
+        boolean historyLost = content == SimulatedStore.Status.HISTORY_LOST;
+        boolean failed = content == null || content instanceof Enum;
+        if (content instanceof ItemStore.Page page) {
+            if (call instanceof StoreReplica.Call.FindPeers) {
+                mReplica.onPeers(page);
+            } else {
+                mReplica.onPage(page);
+            }
+        } else if (content instanceof ItemStore.Changes changes) {
+            mReplica.onChanges(changes);
+        } else if (content instanceof ItemResponse items) {
+            try {
+                onItems(items);
+            } catch (FoxtailmoorException e) {
+                failed = true;
+                historyLost = e.kind() == ErrorKind.PLATFORM_HISTORY_LOST;
+            }
+        }
+        if (failed) {
+            mReplica.onFailure(historyLost, content == Status.NOT_READY);
+        } else {
+            mEncodedBatches.clear();
+            if (mReplica.copy().isComplete()) {
+                respondToAll();
+            }
+        }
+        publish();
+        startNextCall();
+    }
+
+    private void onItems(ItemResponse response) {
+        StoreItemBatch batch =
+                StoreItemBatchCodec.decode(response.getBatch(), mReplica.copy()::item);
+        mReplica.onBatch(
+                new StoreItemBatch(
+                        batch.items().stream().map(mShared).toList(),
+                        batch.revision(),
+                        batch.complete(),
+                        batch.recoveryGrace()),
+                TimeUnit.MILLISECONDS.toNanos(response.getSourceAgeMilliseconds()));
+    }
+
+    private void tickFeed() {
+        boolean outdated = mCurrent && !mReplica.isCurrent();
+        mCurrent = mReplica.isCurrent();
+        if (outdated) {
+            respondToAll();
+            return;
+        }
+        List<Reader> readers = mReaders;
+        mReaders = new ArrayList<>();
+        for (Reader reader : readers) {
+            if (now() - reader.endNanoseconds() < 0) {
+                mReaders.add(reader);
+            } else {
+                respond(reader);
+            }
+        }
+    }
+
+    private void respondToAll() {
+        List<Reader> readers = mReaders;
+        mReaders = new ArrayList<>();
+        readers.forEach(this::respond);
+    }
+
+    private void respond(Reader reader) {
+        if (!mReplica.copy().isComplete()) {
+            reader.responder().accept(new Payload(Status.NOT_READY, HEAD_BYTES));
+            return;
+        }
+        ByteString batch =
+                mEncodedBatches.computeIfAbsent(
+                        reader.afterRevision(),
+                        revision ->
+                                StoreItemBatchCodec.encode(
+                                        mReplica.copy().batchAfter(revision),
+                                        key -> mReplica.copy().valueAt(key, revision)));
+        ItemResponse response =
+                ItemResponse.newBuilder()
+                        .setSourceAgeMilliseconds(
+                                TimeUnit.NANOSECONDS.toMillis(mReplica.copy().age()) + 1)
+                        .setBatch(batch)
+                        .build();
+        reader.responder().accept(new Payload(response, HEAD_BYTES + response.getSerializedSize()));
+    }
+
+    private void publish() {
+        boolean changed = false;
+        boolean instancesChanged = false;
+        for (String key : mReplica.copy().takeChangedKeys()) {
+            changed = true;
+            if (key.startsWith(SimulatedStore.SERVERS_PREFIX)) {
+                instancesChanged |= updateInstance(key);
+            }
+        }
+        if (instancesChanged) {
+            mReplica.setInstances(mInstances.values());
+        }
+        if (changed) {
+            StoreItem configuration = mReplica.copy().item(SimulatedFleet.CONFIGURATION_KEY);
+            mContext.onState(
+                    mReplica.copy().isComplete(),
+                    configuration == null ? 0 : configuration.revision());
+        }
+    }
+
+    private boolean updateInstance(String key) {
+        if (mReplica.copy().item(key) == null) {
+            return mInstances.remove(key) != null;
+        }
+        if (mInstances.containsKey(key)) {
+            return false;
+        }
+        Endpoint node = endpoint(key);
+        mInstances.put(
+                key, Instance.newBuilder().setAddress(node.mName).setRegion(node.mRegion).build());
+        return true;
+    }
+}
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedNetworkTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedNetworkTest.java
@@ -81,4 +81,27 @@
         assertThat(SimulatedFleet.measure(7, size, DirectNode::new, Scenario.STORM))
                 .isEqualTo(SimulatedFleet.measure(7, size, DirectNode::new, Scenario.STORM));
     }
+
+    /** Guards against a dropped response that counts as progress and delays the failure. */
+    @Test
+    void responseDroppedByACutOffFailsAfterTheLimitOfTheFirstByte() {
+        Endpoint client = mNetwork.new Endpoint("client", "a", 100);
+        mServer.mHandler =
+                (request, responder) ->
+                        mNetwork.schedule(
+                                Duration.ofMillis(600).toNanos(),
+                                () -> responder.accept(new Payload("body", RESPONSE_BYTES)));
+        mNetwork.request(
+                client,
+                mServer,
+                new Payload("get", 250),
+                new SimulatedNetwork.Timeouts(
+                        Duration.ofMillis(1_800), Duration.ofMillis(1_200), Duration.ofSeconds(10)),
+                response -> mSeconds.add(response == null ? now() : -1));
+        mNetwork.run(Duration.ofMillis(100));
+        mNetwork.cutOff(client, mServer);
+        mNetwork.run(Duration.ofSeconds(10));
+        assertThat(mSeconds).hasSize(1);
+        assertThat(mSeconds.get(0)).isCloseTo(1.8, within(0.01));
+    }
 }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedNode.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedNode.java
@@ -36,6 +36,13 @@
         /** See {@link SimulatedNetwork#request}. */
         void request(Endpoint to, Payload request, Duration timeout, Consumer<Payload> callback);
 
+        /** Does the same with separate limits for the parts of the response. */
+        void request(
+                Endpoint to,
+                Payload request,
+                SimulatedNetwork.Timeouts timeouts,
+                Consumer<Payload> callback);
+
         /** Reports whether all items have been read, and the revision of the configuration. */
         void onState(boolean complete, long configurationRevision);
     }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedStore.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedStore.java
@@ -19,6 +19,9 @@
 final class SimulatedStore implements SimulatedNetwork.Handler {
     static final int REQUEST_BYTES = 250;
 
+    /** Prefix of the keys of the servers, after which no other keys follow. */
+    static final String SERVERS_PREFIX = "servers/";
+
     private static final int HEAD_BYTES = 200;
     private static final int ITEM_FIELDS_BYTES = 90;
     private static final int PAGE_ITEMS = 500;
@@ -30,6 +33,9 @@
     /** Request to the store; the maximum wait is used by watches only. */
     record Request(StoreWatcher.Call call, Duration maxWait) {}
 
+    /** Request of the first page of the servers. */
+    record InstancesRequest() {}
+
     /** Response that contains no items. */
     enum Status {
         HISTORY_LOST,
@@ -87,6 +93,8 @@
                 () -> {
                     if (tooMany) {
                         responder.accept(new Payload(Status.TOO_MANY_CALLS, HEAD_BYTES));
+                    } else if (request.content() instanceof InstancesRequest) {
+                        responder.accept(page(SERVERS_PREFIX));
                     } else {
                         answer((Request) request.content(), responder);
                     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -1,6 +1,7 @@
 package org.foxtailmoor.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,12 +22,15 @@
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.core.source.ItemDecoder;
 import org.foxtailmoor.core.source.ItemStore;
+import org.foxtailmoor.core.source.StoreReplica;
 import org.foxtailmoor.core.source.StoreSnapshotBuilder;
-import org.foxtailmoor.core.source.StoreWatcher;
 import org.foxtailmoor.node.admin.AdminServer;
 import org.foxtailmoor.node.admin.ExplainEndpoint;
 import org.foxtailmoor.node.admin.HealthEndpoint;
 import org.foxtailmoor.node.admin.MetricsEndpoint;
+import org.foxtailmoor.node.control.HttpPeerItems;
+import org.foxtailmoor.node.control.ItemsEndpoint;
+import org.foxtailmoor.node.control.PeerFeed;
 import org.foxtailmoor.node.control.StoreControl;
 import org.foxtailmoor.node.data.DataPolicies;
 import org.foxtailmoor.node.data.DataSide;
@@ -38,8 +42,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A running node that reads the catalogue and the instances directly from a store. It has the data
- * plane of a {@link Node}, but no control port and no support for idempotency keys.
+ * A running node that reads the catalogue and the instances from a store or from other nodes that
+ * have read them. It has the data plane of a {@link Node}, but no control port and no support for
+ * idempotency keys.
  */
 public final class StoreNode {
     private static final Logger LOGGER = LoggerFactory.getLogger(StoreNode.class);
@@ -56,7 +61,8 @@
      * @param store creates the client of the store on the given event loops, with its metrics in
      *     the given registry
      * @param decoder decodes the items of the store
-     * @param watchTimeout maximum wait of a watch of the store
+     * @param watchTimeout maximum wait of a read of the store or of another node
+     * @param maxAge age above which the items of another node are outdated
      * @param removalGracePeriod time for which an instance that was removed from the store still
      *     receives requests
      * @param changeBatchingPeriod time for which large changes in quick succession may be batched
@@ -70,6 +76,7 @@
             BiFunction<EventLoopGroup, MetricRegistry, ItemStore> store,
             ItemDecoder decoder,
             Duration watchTimeout,
+            Duration maxAge,
             Duration removalGracePeriod,
             Duration changeBatchingPeriod,
             Duration shutdownTimeout) {
@@ -81,6 +88,7 @@
             Objects.requireNonNull(store, "store");
             Objects.requireNonNull(decoder, "decoder");
             Objects.requireNonNull(watchTimeout, "watchTimeout");
+            Objects.requireNonNull(maxAge, "maxAge");
             Objects.requireNonNull(removalGracePeriod, "removalGracePeriod");
             Objects.requireNonNull(changeBatchingPeriod, "changeBatchingPeriod");
             Objects.requireNonNull(shutdownTimeout, "shutdownTimeout");
@@ -96,6 +104,7 @@
     private final SnapshotReference<RoutingSnapshot> mSnapshots;
     private final CompletableFuture<Void> mTerminated = new CompletableFuture<>();
     private StoreControl mStoreControl;
+    private HttpPeerItems mPeerItems;
     private DataSide mDataSide;
     private AdminServer mAdminServer;
     private AdminServer mReadyServer;
@@ -195,38 +204,60 @@
                         mControlLoops,
                         mOptions.readyAddress(),
                         Map.of("/ready", new HealthEndpoint("ready", this::isReady)));
+        createStoreControl(node);
+        mStoreControl.start();
+        LOGGER.info(
+                "started node {} of service {} with ports caller={} node={} admin={}",
+                node.id(),
+                node.service(),
+                node.callerPort(),
+                node.nodePort(),
+                node.adminPort());
+    }
+
+    /** Creates the control plane and binds the admin port, on which other nodes read items. */
+    private void createStoreControl(NodeSettings.NodeSection node) {
+        EventLoop controlLoop = mControlLoops.next();
+        StoreReplica replica =
+                StoreReplica.builder()
+                        .setTicker(mTicker)
+                        .setRandom(new SplittableRandom())
+                        .setLocation(node.address(), node.region())
+                        .setRemovalGrace(mOptions.removalGracePeriod())
+                        .setBurstPause(mOptions.changeBatchingPeriod())
+                        .setMaxAge(mOptions.maxAge())
+                        .build();
+        PeerFeed feed = new PeerFeed(controlLoop, mTicker, replica);
         mAdminServer =
                 AdminServer.bind(
                         mControlLoops,
                         new InetSocketAddress(node.address(), node.adminPort()),
                         Map.of(
-                                "/health", new HealthEndpoint("healthy", () -> true),
-                                "/metrics", new MetricsEndpoint(mMetrics),
-                                "/explain", new ExplainEndpoint(mDataSide::explain)));
+                                "/health",
+                                new HealthEndpoint("healthy", () -> true),
+                                "/metrics",
+                                new MetricsEndpoint(mMetrics),
+                                "/explain",
+                                new ExplainEndpoint(mDataSide::explain),
+                                ItemsEndpoint.PATH,
+                                new ItemsEndpoint(feed)));
         if (mOptions.metricsPort() > 0) {
             mMetricsServer = bindMetricsPort(node);
         }
+        mPeerItems = new HttpPeerItems(mControlLoops, node.adminPort(), mMetrics);
         mStoreControl =
                 new StoreControl(
-                        mControlLoops.next(),
-                        mOptions.store().apply(mControlLoops, mMetrics),
-                        mOptions.watchTimeout(),
-                        StoreWatcher.of(
-                                mTicker,
-                                new SplittableRandom(),
-                                mOptions.removalGracePeriod(),
-                                mOptions.changeBatchingPeriod()),
-                        new StoreSnapshotBuilder(mOptions.decoder(), new StateChangeLogger()),
-                        mMetrics.timer("foxtailmoor.control.loop_delay_nanoseconds"),
-                        this::onSnapshot);
-        mStoreControl.start();
-        LOGGER.info(
-                "started node {} of service {} with ports caller={} node={} admin={}",
-                node.id(),
-                node.service(),
-                node.callerPort(),
-                node.nodePort(),
-                node.adminPort());
+                        new StoreControl.Dependencies(
+                                controlLoop,
+                                mOptions.store().apply(mControlLoops, mMetrics),
+                                mPeerItems,
+                                mOptions.watchTimeout(),
+                                replica,
+                                feed,
+                                new StoreSnapshotBuilder(
+                                        mOptions.decoder(), new StateChangeLogger()),
+                                mMetrics.timer("foxtailmoor.control.loop_delay_nanoseconds"),
+                                this::onSnapshot));
     }
 
     /**
@@ -277,6 +308,7 @@
     private void closeAll() {
         if (mStoreControl != null) {
             mStoreControl.close();
+            mPeerItems.close();
         }
         if (mDataSide != null) {
             mDataSide.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminHandler.java
@@ -14,7 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.nio.charset.StandardCharsets;
+import io.netty.handler.timeout.IdleStateEvent;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import org.foxtailmoor.base.ErrorKind;
@@ -22,7 +22,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Dispatches each admin request to the endpoint for its path and then closes the connection. */
+/**
+ * Dispatches each admin request to the endpoint for its path. The connection is closed after the
+ * response, unless the response says otherwise.
+ */
 final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final Logger LOGGER = LoggerFactory.getLogger(AdminHandler.class);
 
@@ -53,6 +56,14 @@
                                         failure == null ? response : toErrorResponse(failure)));
     }
 
+    /** Closes connections of peers that are gone without having closed them. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         LOGGER.debug("closing an admin connection after an error: {}", cause.toString());
@@ -64,12 +75,16 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(response.status()),
-                        Unpooled.copiedBuffer(response.body(), StandardCharsets.UTF_8));
+                        Unpooled.wrappedBuffer(response.body().asReadOnlyByteBuffer()));
         httpResponse
                 .headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, response.contentType())
-                .set(HttpHeaderNames.CONTENT_LENGTH, httpResponse.content().readableBytes())
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                .set(HttpHeaderNames.CONTENT_LENGTH, httpResponse.content().readableBytes());
+        if (response.persistent()) {
+            context.writeAndFlush(httpResponse);
+            return;
+        }
+        httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(httpResponse).addListener(ChannelFutureListener.CLOSE);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/AdminServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import org.foxtailmoor.base.ErrorKind;
@@ -16,6 +17,7 @@
 /** HTTP server of the admin port. Its endpoints are read-only. */
 public final class AdminServer implements AutoCloseable {
     private static final int MAX_REQUEST_BYTES = 4_096;
+    private static final int IDLE_TIMEOUT_SECONDS = 30;
 
     private final Channel mChannel;
 
@@ -43,6 +45,9 @@
                                     @Override
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
+                                                .addLast(
+                                                        new IdleStateHandler(
+                                                                0, 0, IDLE_TIMEOUT_SECONDS))
                                                 .addLast(new HttpServerCodec())
                                                 .addLast(
                                                         new HttpObjectAggregator(MAX_REQUEST_BYTES))
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/ItemsEndpoint.java
@@ -0,0 +1,56 @@
+package org.foxtailmoor.node.control;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
+import org.foxtailmoor.node.admin.AdminEndpoint;
+import org.foxtailmoor.node.admin.AdminResponse;
+
+/** Serves the items of the store to other nodes, see {@link PeerFeed#read}. */
+public final class ItemsEndpoint implements AdminEndpoint {
+    /** Path of the endpoint. */
+    public static final String PATH = "/items";
+
+    static final String AFTER = "after";
+    static final String WAIT_MILLISECONDS = "wait_milliseconds";
+
+    private static final int STATUS_OK = 200;
+    private static final String CONTENT_TYPE = "application/x-protobuf";
+
+    private final PeerFeed mFeed;
+
+    /** Creates an endpoint of a feed, which must not be null. */
+    public ItemsEndpoint(PeerFeed feed) {
+        mFeed = feed;
+    }
+
+    @Override
+    public CompletableFuture<AdminResponse> handle(Map<String, List<String>> parameters) {
+        long after;
+        Duration wait;
+        try {
+            after = number(parameters, AFTER);
+            wait = Duration.ofMillis(number(parameters, WAIT_MILLISECONDS));
+        } catch (FoxtailmoorException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        return mFeed.read(after, wait)
+                .thenApply(
+                        response ->
+                                new AdminResponse(
+                                        STATUS_OK, CONTENT_TYPE, response.toByteString(), true));
+    }
+
+    private static long number(Map<String, List<String>> parameters, String name) {
+        List<String> values = parameters.getOrDefault(name, List.of());
+        try {
+            return Long.parseLong(values.get(0));
+        } catch (IndexOutOfBoundsException | NumberFormatException e) {
+            throw FoxtailmoorException.of(
+                    ErrorKind.BAD_REQUEST, name + " must be a number, but is " + values, e);
+        }
+    }
+}
--- /dev/null
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerItems.java
@@ -0,0 +1,20 @@
+package org.foxtailmoor.node.control;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailmoor.protocol.generated.ItemResponse;
+
+/** Reads the items of the store from other nodes. */
+public interface PeerItems {
+    /**
+     * Waits for changes at another node.
+     *
+     * @param host host of the node, not null
+     * @param afterRevision revision up to which the caller is complete, 0 to read every item
+     * @param wait maximum wait
+     * @return the response; the future fails with a {@link
+     *     org.foxtailmoor.base.FoxtailmoorException} of kind NOT_READY if the node does not have
+     *     all items, and PLATFORM_UNAVAILABLE if it does not respond
+     */
+    CompletableFuture<ItemResponse> read(String host, long afterRevision, Duration wait);
+}
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -3,22 +3,29 @@
 import com.codahale.metrics.Timer;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.FoxtailmoorException;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.source.ItemStore;
+import org.foxtailmoor.core.source.StoreItemBatch;
+import org.foxtailmoor.core.source.StoreItemBatchCodec;
+import org.foxtailmoor.core.source.StoreReplica;
 import org.foxtailmoor.core.source.StoreSnapshotBuilder;
 import org.foxtailmoor.core.source.StoreWatcher;
+import org.foxtailmoor.protocol.generated.ItemResponse;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 
 /**
- * Control plane of a node that reads the store directly: makes the calls that the {@link
- * StoreWatcher} schedules, and publishes a routing snapshot after each change. All work is done on
- * the control loop.
+ * Control plane of a node on a platform with a store: makes the calls that the {@link StoreReplica}
+ * schedules, passes the items on to other nodes, and publishes a routing snapshot after each
+ * change. All work is done on the control loop.
  */
 public final class StoreControl {
     private static final Logger LOGGER = LoggerFactory.getLogger(StoreControl.class);
@@ -32,48 +39,72 @@
         void onSnapshot(RoutingSnapshot snapshot);
     }
 
-    private final EventLoop mLoop;
-    private final ItemStore mStore;
-    private final Duration mWatchTimeout;
-    private final StoreWatcher mWatcher;
-    private final StoreSnapshotBuilder mSnapshotBuilder;
-    private final Timer mLoopDelay;
-    private final Listener mListener;
-    private boolean mReachable = true;
-    private boolean mClosed;
-    private long mNextTickNanoseconds;
-
     /**
-     * Creates a control plane that is inactive until {@link #start()} is called. No argument may be
-     * null.
+     * Collaborators of a control plane. No component may be null.
      *
      * @param loop control loop
      * @param store store to read
-     * @param watchTimeout maximum wait of a watch; an unresponsive connection is detected only
-     *     after it
-     * @param watcher schedules the calls
+     * @param peers other nodes to read
+     * @param watchTimeout maximum wait of a call; an unresponsive connection is detected only after
+     *     it
+     * @param replica schedules the calls
+     * @param feed passes the items on to other nodes
      * @param snapshotBuilder decodes the items into routing snapshots
      * @param loopDelay records by how much each tick of the control loop is late
      * @param listener receives the results
      */
-    public StoreControl(
+    public record Dependencies(
             EventLoop loop,
             ItemStore store,
+            PeerItems peers,
             Duration watchTimeout,
-            StoreWatcher watcher,
+            StoreReplica replica,
+            PeerFeed feed,
             StoreSnapshotBuilder snapshotBuilder,
             Timer loopDelay,
             Listener listener) {
-        mLoop = loop;
-        mStore = store;
-        mWatchTimeout = watchTimeout;
-        mWatcher = watcher;
-        mSnapshotBuilder = snapshotBuilder;
-        mLoopDelay = loopDelay;
-        mListener = listener;
+        /** Checks that no component is null. */
+        public Dependencies {
+            Objects.requireNonNull(loop, "loop");
+            Objects.requireNonNull(store, "store");
+            Objects.requireNonNull(peers, "peers");
+            Objects.requireNonNull(watchTimeout, "watchTimeout");
+            Objects.requireNonNull(replica, "replica");
+            Objects.requireNonNull(feed, "feed");
+            Objects.requireNonNull(snapshotBuilder, "snapshotBuilder");
+            Objects.requireNonNull(loopDelay, "loopDelay");
+            Objects.requireNonNull(listener, "listener");
+        }
+    }
+
+    private final EventLoop mLoop;
+    private final ItemStore mStore;
+    private final PeerItems mPeers;
+    private final Duration mWait;
+    private final StoreReplica mReplica;
+    private final PeerFeed mFeed;
+    private final StoreSnapshotBuilder mSnapshotBuilder;
+    private final Timer mLoopDelay;
+    private final Listener mListener;
+    private long mNextTickNanoseconds;
+    private String mSource = "";
+    private boolean mReachable = true;
+    private boolean mClosed;
+
+    /** Creates a control plane that is inactive until {@link #start()} is called. */
+    public StoreControl(Dependencies dependencies) {
+        mLoop = dependencies.loop();
+        mStore = dependencies.store();
+        mPeers = dependencies.peers();
+        mWait = dependencies.watchTimeout();
+        mReplica = dependencies.replica();
+        mFeed = dependencies.feed();
+        mSnapshotBuilder = dependencies.snapshotBuilder();
+        mLoopDelay = dependencies.loopDelay();
+        mListener = dependencies.listener();
     }
 
-    /** Starts reading the store. */
+    /** Starts reading. */
     public void start() {
         mNextTickNanoseconds = mLoop.ticker().nanoTime();
         mLoop.scheduleAtFixedRate(
@@ -92,7 +123,8 @@
                 TimeUnit.NANOSECONDS);
         mNextTickNanoseconds += TimeUnit.MILLISECONDS.toNanos(TICK_INTERVAL_MILLISECONDS);
         try {
-            mWatcher.tick();
+            mReplica.copy().tick();
+            mFeed.tick();
             publish();
             startNextCall();
         } catch (RuntimeException e) {
@@ -101,70 +133,124 @@
     }
 
     private void startNextCall() {
-        if (mClosed) {
-            return;
+        StoreReplica.Call call = mClosed ? null : mReplica.nextCall();
+        try {
+            start(call);
+        } catch (RuntimeException e) {
+            LOGGER.error("cannot start {}", call, e);
+            mReplica.onFailure(false, false);
         }
-        StoreWatcher.Call call = mWatcher.nextCall();
-        long start = mLoop.ticker().nanoTime();
-        if (call instanceof StoreWatcher.Call.ListAfter list) {
-            mStore.list(list.key())
-                    .whenCompleteAsync(
-                            (page, failure) ->
-                                    onResult(call, start, () -> mWatcher.onPage(page), failure),
-                            mLoop);
-        } else if (call instanceof StoreWatcher.Call.WatchAfter watch) {
-            mStore.watch(watch.revision(), mWatchTimeout)
-                    .whenCompleteAsync(
-                            (changes, failure) ->
-                                    onResult(
-                                            call,
-                                            start,
-                                            () -> mWatcher.onChanges(changes),
-                                            failure),
-                            mLoop);
+    }
+
+    private void start(StoreReplica.Call call) {
+        if (call instanceof StoreReplica.Call.FindPeers) {
+            await(call, mStore.listInstances(), mReplica::onPeers);
+        } else if (call instanceof StoreReplica.Call.ReadStore read) {
+            logSource("the store");
+            startStoreCall(read);
+        } else if (call instanceof StoreReplica.Call.ReadPeer read) {
+            logSource(read.host());
+            await(
+                    call,
+                    mPeers.read(read.host(), read.afterRevision(), mWait),
+                    this::onItemResponse);
         }
     }
 
-    private void onResult(
-            StoreWatcher.Call call, long startNanoseconds, Runnable onSuccess, Throwable failure) {
-        if (failure == null) {
-            onSuccess.run();
-            logIfReachableAgain();
+    private void startStoreCall(StoreReplica.Call.ReadStore call) {
+        if (call.call() instanceof StoreWatcher.Call.ListAfter list) {
+            await(call, mStore.list(list.key()), mReplica::onPage);
+        } else if (call.call() instanceof StoreWatcher.Call.WatchAfter watch) {
+            await(call, mStore.watch(watch.revision(), mWait), mReplica::onChanges);
+        }
+    }
+
+    private <T> void await(
+            StoreReplica.Call call, CompletableFuture<T> result, Consumer<T> onSuccess) {
+        long start = mLoop.ticker().nanoTime();
+        result.whenCompleteAsync(
+                (value, failure) -> onResult(call, start, value, failure, onSuccess), mLoop);
+    }
+
+    private <T> void onResult(
+            StoreReplica.Call call,
+            long startNanoseconds,
+            T value,
+            Throwable failure,
+            Consumer<T> onSuccess) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause == null) {
+            try {
+                onSuccess.accept(value);
+                logIfReachableAgain();
+            } catch (FoxtailmoorException e) {
+                cause = e;
+            } catch (RuntimeException e) {
+                // Without a result, the replica would wait for this call forever.
+                LOGGER.error("cannot apply the result of {}", call, e);
+                cause = e;
+            }
+        }
+        if (cause != null) {
+            ErrorKind kind =
+                    cause instanceof FoxtailmoorException exception ? exception.kind() : null;
+            logFailure(call, startNanoseconds, cause, kind == ErrorKind.PLATFORM_HISTORY_LOST);
+            mReplica.onFailure(
+                    kind == ErrorKind.PLATFORM_HISTORY_LOST, kind == ErrorKind.NOT_READY);
         } else {
-            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-            boolean historyLost =
-                    cause instanceof FoxtailmoorException exception
-                            && exception.kind() == ErrorKind.PLATFORM_HISTORY_LOST;
-            logFailure(call, startNanoseconds, cause, historyLost);
-            mWatcher.onFailure(historyLost);
+            // Other nodes get the items before this node decodes them.
+            mFeed.onSourceResponse();
         }
         publish();
         startNextCall();
     }
 
+    private void onItemResponse(ItemResponse response) {
+        StoreItemBatch batch =
+                StoreItemBatchCodec.decode(response.getBatch(), mReplica.copy()::item);
+        mReplica.onBatch(batch, TimeUnit.MILLISECONDS.toNanos(response.getSourceAgeMilliseconds()));
+    }
+
     private void publish() {
         boolean changed = false;
-        for (String key : mWatcher.takeChangedKeys()) {
-            changed |= mSnapshotBuilder.update(key, mWatcher.item(key));
+        for (String key : mReplica.copy().takeChangedKeys()) {
+            changed |= mSnapshotBuilder.update(key, mReplica.copy().item(key));
+        }
+        if (!changed) {
+            return;
         }
-        if (changed && mWatcher.isComplete() && mSnapshotBuilder.hasCatalogue()) {
+        mReplica.setInstances(mSnapshotBuilder.instances());
+        if (mReplica.copy().isComplete() && mSnapshotBuilder.hasCatalogue()) {
             mListener.onSnapshot(mSnapshotBuilder.snapshot());
         }
     }
 
+    private void logSource(String source) {
+        if (!mSource.equals(source)) {
+            mSource = source;
+            LOGGER.info(
+                    "reading from {} with rank {} among {} nodes at revision {}",
+                    source,
+                    mReplica.order().rank(),
+                    mReplica.order().fleetSize(),
+                    mReplica.copy().revision());
+        }
+    }
+
     private void logIfReachableAgain() {
         if (!mReachable) {
             mReachable = true;
-            LOGGER.info("the store is reachable again");
+            LOGGER.info("the source of items is reachable again");
         }
     }
 
-    /** Logs each failed call; the backoffs of the {@link StoreWatcher} bound their number. */
+    /** Logs each failed call; the pauses of the {@link StoreReplica} bound their number. */
     private void logFailure(
-            StoreWatcher.Call call, long startNanoseconds, Throwable cause, boolean historyLost) {
+            StoreReplica.Call call, long startNanoseconds, Throwable cause, boolean historyLost) {
         if (historyLost) {
             LOGGER.info(
-                    "the store has discarded the revisions to watch from; listing all items again");
+                    "{} has discarded the revisions to read from; reading all items again",
+                    mSource);
             return;
         }
         LOGGER.atLevel(mReachable ? Level.WARN : Level.INFO)
@@ -172,7 +258,7 @@
                 .addKeyValue(
                         "milliseconds",
                         TimeUnit.NANOSECONDS.toMillis(mLoop.ticker().nanoTime() - startNanoseconds))
-                .log("cannot read from the store: {}", cause.getMessage());
+                .log("cannot read from {}: {}", mSource, cause.getMessage());
         mReachable = false;
     }
 }
