Tell entries at once that a target is down

Cause: only the home knew that its target accepted no connections, and said so only to a request that was sent to it; entries forgot it after 0.5 to 2 s.

A home now says in its load that its target is down, at once to every open link and again with each pong, probes the target each 100 ms and says when it is back. Balancers leave such homes out; if all targets of a service are down, the entry refuses at once. A target that only refuses further connections still has open ones and is not taken for down.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/ExpectedWaitBalancer.java
@@ -113,12 +113,14 @@
             boolean includeEjected) {
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
+        long now = mTable.nanoTime();
         for (Upstream upstream : service.upstreams()) {
             UpstreamRow row = mTable.row(upstream.id());
             boolean usable =
                     row != null
                             && !upstream.leaving()
                             && !row.mLeaving
+                            && !row.isTargetDown(now)
                             && (includeEjected || isHealthy(row))
                             && !excluded.contains(upstream.id());
             if (!usable) {
@@ -126,7 +128,7 @@
             }
             double expected = expectedNanoseconds(upstream, row);
             if (bodyBytes > LONG_BODY_BYTES) {
-                long sinceReport = mTable.nanoTime() - row.mReportedNanoseconds;
+                long sinceReport = now - row.mReportedNanoseconds;
                 expected += Math.max(0, row.mBodyWaitNanoseconds - sinceReport);
             }
             if (expected > limitNanoseconds) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PowerOfTwoChoicesBalancer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/PowerOfTwoChoicesBalancer.java
@@ -134,6 +134,9 @@
         if (row == null || row.mLeaving || excluded.contains(upstream.id())) {
             return false;
         }
+        if (row.isTargetDown(mTable.nanoTime())) {
+            return false;
+        }
         switch (filter) {
             case BELOW_FULL:
                 return !row.mEjected && row.load() < FULL_LOAD;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamRow.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamRow.java
@@ -32,6 +32,11 @@
     /** Time that a long body took to arrive at the time of the report. */
     long mBodyWaitNanoseconds;
 
+    /** Whether the home reported that its target accepts no connections. */
+    boolean mTargetDown;
+
+    long mTargetDownUntilNanoseconds;
+
     /** Fraction of recent requests that the target refused or failed, 0 to 1. */
     double mFailureShare;
 
@@ -49,6 +54,11 @@
         mSlowStartFactor = skipsSlowStart ? 1 : SlowStartSystem.MIN_FACTOR;
     }
 
+    /** Returns whether the target is known to accept no connections. */
+    boolean isTargetDown(long nowNanoseconds) {
+        return mTargetDown && nowNanoseconds - mTargetDownUntilNanoseconds < 0;
+    }
+
     /** Returns the estimated load, including attempts sent since the last report. */
     double load() {
         double sinceReport = (double) (mOutstanding - mOutstandingAtReport) / mSlots;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/UpstreamTable.java
@@ -19,6 +19,12 @@
      */
     private static final long RUN_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * Time for which a report that a target is down holds. An open link repeats it with each answer
+     * to a ping.
+     */
+    static final long TARGET_DOWN_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
     private static final double PERCENT = 100;
 
     /** Inverse weight of a new sample in the smoothed round trip time, as in TCP. */
@@ -114,12 +120,33 @@
                 TimeUnit.MILLISECONDS.toNanos(
                         Integer.toUnsignedLong(load.getBodyWaitMilliseconds()));
         row.mFailureShare = load.getFailurePercent() / PERCENT;
+        setTargetDown(row, load.getTargetDown());
         row.mReportedLoad = (double) (load.getRunning() + load.getQueued()) / row.mSlots;
         row.mDecayedLoad = row.mReportedLoad;
         row.mReportedNanoseconds = mTicker.nanoTime();
         row.mOutstandingAtReport = row.mOutstanding;
     }
 
+    /**
+     * Records whether the target of an upstream accepts connections. A target that is back gets
+     * requests at once, because its home has connected to it.
+     */
+    public void reportTargetDown(String id, boolean down) {
+        UpstreamRow row = mRows.get(id);
+        if (row != null) {
+            setTargetDown(row, down);
+        }
+    }
+
+    private void setTargetDown(UpstreamRow row, boolean down) {
+        if (row.mTargetDown && !down) {
+            row.mFailures = 0;
+            row.mEjected = false;
+        }
+        row.mTargetDown = down;
+        row.mTargetDownUntilNanoseconds = mTicker.nanoTime() + TARGET_DOWN_NANOSECONDS;
+    }
+
     /** Records a round trip time measured on the link to an upstream. */
     public void reportRoundTrip(String id, long nanoseconds) {
         UpstreamRow row = mRows.get(id);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/ExpectedWaitBalancerTest.java
@@ -124,6 +124,29 @@
         assertThat(chooseFor(60_000)).as("the report is old").containsOnlyKeys("near");
     }
 
+    /** Guards against tries at homes that have already said that their targets are down. */
+    @Test
+    void targetThatIsDownGetsNoRequestUntilItIsBack() {
+        reportDown("near", true);
+        assertThat(choose()).doesNotContainKey("near");
+        assertThat(choose("region", "far")).containsOnlyKeys("none");
+        mTable.reportFailure("near");
+        reportDown("near", false);
+        assertThat(choose("region", "far")).as("the target is back").containsOnlyKeys("near");
+    }
+
+    /** Guards against a target that stays unused because the report of its return was lost. */
+    @Test
+    void reportThatATargetIsDownExpires() {
+        reportDown("near", true);
+        mTicker.advance(UpstreamTable.TARGET_DOWN_NANOSECONDS, TimeUnit.NANOSECONDS);
+        assertThat(choose("region", "far")).containsOnlyKeys("near");
+    }
+
+    private void reportDown(String id, boolean down) {
+        mTable.reportLoad(id, Load.newBuilder().setSlots(SLOTS).setTargetDown(down).build());
+    }
+
     /** A refused request must not be tried at one full upstream after another. */
     @Test
     void upstreamThatIsExpectedToAnswerTooLateIsNotAsked() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -8,7 +8,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -214,6 +216,7 @@
      */
     public void start() {
         NodeSettings.NodeSection node = mDependencies.settings().node();
+        mHome.setTargetStateListener(this::onTargetState);
         mNodeAddress =
                 awaitBind(
                         mLinkServer.bind(mDependencies.loop(), address(node.nodePort())),
@@ -326,13 +329,24 @@
     }
 
     private void markOwnUpstreamLeaving() {
+        ownUpstreamIds().forEach(mUpstreams::markLeaving);
+    }
+
+    private void onTargetState(boolean down, boolean changed) {
+        ownUpstreamIds().forEach(id -> mUpstreams.reportTargetDown(id, down));
+        if (changed) {
+            mLinkServer.sendLoad();
+        }
+    }
+
+    /** Returns the ids under which the instance list may have this node's own upstream. */
+    private Set<String> ownUpstreamIds() {
         NodeSettings.NodeSection node = mDependencies.settings().node();
-        mUpstreams.markLeaving(node.id());
         Upstream ownUpstream =
                 mSnapshot == null ? null : mSnapshot.upstreamAt(node.address(), node.nodePort());
-        if (ownUpstream != null) {
-            mUpstreams.markLeaving(ownUpstream.id());
-        }
+        return ownUpstream == null
+                ? Set.of(node.id())
+                : new HashSet<>(List.of(node.id(), ownUpstream.id()));
     }
 
     private void applySnapshot() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -37,6 +37,9 @@
     /** Stream number of frames that belong to the link and not to a request. */
     static final long LINK_STREAM = 0;
 
+    /** Sequence of a pong that is not an answer to a ping; pings are numbered from 1. */
+    static final long UNSOLICITED_PONG = 0;
+
     private static final int FLUSH_AFTER_FRAMES = 256;
 
     private Frames() {}
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -10,6 +10,7 @@
 import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.home.HomeDecisions;
+import org.foxtailmoor.core.home.TargetMonitor;
 import org.foxtailmoor.core.routing.IdempotencyKey;
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
@@ -17,9 +18,13 @@
 import org.foxtailmoor.node.trace.HopTracer;
 import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.RequestStart;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Accepts requests at their home node and runs them on the target as the policy decides. */
 final class HomeGateway implements Home {
+    private static final Logger LOGGER = LoggerFactory.getLogger(HomeGateway.class);
+
     /**
      * Time for which crashes are collected before they are reported. The connections of one crashed
      * target are found closed one by one; reporting their requests together prevents dispatching
@@ -43,6 +48,8 @@
     private final String mServiceId;
     private final Dependencies mDependencies;
     private final List<HomeTask> mCrashedTasks = new ArrayList<>();
+    private final TargetMonitor mTargetMonitor;
+    private TargetStateListener mTargetStateListener = (down, changed) -> {};
     private RoutingSnapshot mSnapshot;
     private HomeDecisions mDecisions;
     private boolean mLeaving;
@@ -50,6 +57,8 @@
     HomeGateway(String serviceId, Dependencies dependencies) {
         mServiceId = serviceId;
         mDependencies = dependencies;
+        mTargetMonitor = TargetMonitor.of(dependencies.ticker());
+        dependencies.target().setConnectListener(this::onTargetConnect);
     }
 
     @Override
@@ -75,7 +84,8 @@
 
     @Override
     public Load load() {
-        return mDependencies.admission().load();
+        Load load = mDependencies.admission().load();
+        return mTargetMonitor.isDown() ? load.toBuilder().setTargetDown(true).build() : load;
     }
 
     @Override
@@ -83,6 +93,11 @@
         return mLeaving;
     }
 
+    /** Sets the listener for the state of the target. */
+    void setTargetStateListener(TargetStateListener listener) {
+        mTargetStateListener = listener;
+    }
+
     /** Applies the current routing snapshot. */
     void update(RoutingSnapshot snapshot) {
         mSnapshot = snapshot;
@@ -124,6 +139,9 @@
             mDecisions.tick();
         }
         mDependencies.target().tick();
+        if (mTargetMonitor.startProbeIfDue()) {
+            probeTarget();
+        }
     }
 
     /** Records a crash for a task; reported together with crashes found shortly afterwards. */
@@ -167,6 +185,29 @@
         List<HomeTask> crashed = List.copyOf(mCrashedTasks);
         mCrashedTasks.clear();
         mDecisions.crashed(crashed);
+        if (mTargetMonitor.startProbe()) {
+            probeTarget();
+        }
+    }
+
+    private void probeTarget() {
+        mDependencies.target().probe(mTargetMonitor::onProbeEnded);
+    }
+
+    private void onTargetConnect(boolean success) {
+        boolean changed =
+                success
+                        ? mTargetMonitor.onConnected()
+                        : mTargetMonitor.onConnectFailed(mDependencies.target().openConnections());
+        if (changed) {
+            LOGGER.info(
+                    "the target at {} {}",
+                    mDependencies.target().address(),
+                    success ? "accepts connections again" : "accepts no connections");
+        }
+        if (changed || mTargetMonitor.isDown()) {
+            mTargetStateListener.onTargetState(mTargetMonitor.isDown(), changed);
+        }
     }
 
     /** Returns the reason to refuse a request, or null to accept it. */
@@ -177,6 +218,10 @@
         if (start.getMethod().isEmpty() || !start.getPath().startsWith("/")) {
             return ErrorKind.BAD_REQUEST;
         }
+        // The outcome of a known idempotency key is available without the target.
+        if (mTargetMonitor.isDown() && start.getIdempotencyKey().isEmpty()) {
+            return ErrorKind.NO_UPSTREAM;
+        }
         return mDecisions.refusalReason(start);
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -80,6 +80,11 @@
         mTransfers.tick();
     }
 
+    /** Sends the load to every peer without waiting for their pings. */
+    void sendLoad() {
+        mLinks.forEach(LinkServerHandler::sendLoad);
+    }
+
     /** Notifies every peer that this upstream is leaving. */
     void sendGoingAway() {
         mLinks.forEach(LinkServerHandler::sendGoingAway);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -97,6 +97,11 @@
         mChannel.close();
     }
 
+    /** Sends the load of the target without a ping of the peer. */
+    void sendLoad() {
+        mChannel.writeAndFlush(Frames.pong(Frames.UNSOLICITED_PONG, mServer.load()));
+    }
+
     /** Notifies the peer that this upstream is leaving. */
     void sendGoingAway() {
         mChannel.writeAndFlush(Frames.goingAway());
@@ -113,6 +118,9 @@
         if (mHome.isLeaving()) {
             sendGoingAway();
         }
+        if (mServer.load().getTargetDown()) {
+            sendLoad();
+        }
         context.fireChannelActive();
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.BodyMemory;
 
@@ -50,6 +51,7 @@
     private final ArrayDeque<TargetConnection> mIdleConnections = new ArrayDeque<>();
     private final Set<TargetConnection> mOpenConnections = new LinkedHashSet<>();
     private final TargetConnection.Pool mPool = new Pool();
+    private Consumer<Boolean> mConnectListener = success -> {};
 
     TargetClient(
             EventLoop loop,
@@ -78,6 +80,32 @@
         return exchange::cancel;
     }
 
+    /** Sets the listener that is called with the success of each connect. */
+    void setConnectListener(Consumer<Boolean> listener) {
+        mConnectListener = listener;
+    }
+
+    /**
+     * Connects to the target without a request and keeps the connection for the next one.
+     *
+     * @param ended called after the connect listener
+     */
+    void probe(Runnable ended) {
+        ChannelFuture connect = connect();
+        connect.addListener(
+                future -> {
+                    if (future.isSuccess()) {
+                        mPool.onIdle(register(connect.channel()));
+                    }
+                    mConnectListener.accept(future.isSuccess());
+                    ended.run();
+                });
+    }
+
+    InetSocketAddress address() {
+        return mAddress;
+    }
+
     int openConnections() {
         return mOpenConnections.size();
     }
@@ -127,6 +155,12 @@
                 .connect(mAddress);
     }
 
+    private TargetConnection register(Channel channel) {
+        TargetConnection connection = channel.pipeline().get(TargetConnection.class);
+        mOpenConnections.add(connection);
+        return connection;
+    }
+
     private void initializePipeline(Channel channel) {
         TargetResponseDecoder decoder =
                 new TargetResponseDecoder(
@@ -235,14 +269,15 @@
             }
             if (!success) {
                 tryEnd();
+                mConnectListener.accept(false);
                 // An idempotent request that was already sent on a stale connection may have run.
                 ErrorKind kind = mSent ? ErrorKind.UPSTREAM_FAILED : ErrorKind.NO_UPSTREAM;
                 mListener.onFailure(
                         Outcome.Failure.of(kind, "the target does not accept connections"), false);
                 return;
             }
-            TargetConnection connection = channel.pipeline().get(TargetConnection.class);
-            mOpenConnections.add(connection);
+            TargetConnection connection = register(channel);
+            mConnectListener.accept(true);
             if (!mSent && !confirmSend()) {
                 tryEnd();
                 mPool.onIdle(connection);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -91,7 +91,11 @@
     private volatile boolean mEchoPaths;
 
     FakeTarget() throws IOException {
-        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this(0);
+    }
+
+    FakeTarget(int port) throws IOException {
+        mServer = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         startThread(this::accept);
     }
 
