--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/BodyTransfers.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/BodyTransfers.java
@@ -20,7 +20,7 @@
     private static final int MIN_GRANT_BYTES = 16_384;
 
     /** Time in which the link carries all granted bytes; must exceed a round trip. */
-    private static final long QUEUEING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+    static final long QUEUEING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** With two grants, one part arrives while the grant of the next one is on its way. */
     private static final int MIN_GRANTS = 2;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/DirectReadSchedule.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/DirectReadSchedule.java
@@ -10,16 +10,16 @@
  */
 final class DirectReadSchedule {
     /** Highest rank of the nodes that replace an outdated first node of their region. */
-    private static final int LAST_STANDBY_RANK = 3;
+    static final int LAST_STANDBY_RANK = 3;
 
     /**
      * Time in which a standby reader can read whole values over a narrow link before the next one
      * joins it.
      */
-    private static final long STANDBY_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
+    static final long STANDBY_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
 
     /** Time after which the nodes behind the standby readers read the store one after another. */
-    private static final long LAST_RESORT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+    static final long LAST_RESORT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
     private static final long LAST_RESORT_PER_RANK_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
@@ -31,20 +31,20 @@
     private static final long JITTER_PER_RANK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
 
     /** Time that the peers of a node without items have before it reads the store. */
-    private static final long COLD_DELAY_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    static final long COLD_DELAY_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     /**
      * The same time for a node that is not in the listing. When the whole fleet starts, the targets
      * register during the first seconds.
      */
-    private static final long UNLISTED_DELAY_NANOSECONDS = TimeUnit.SECONDS.toNanos(4);
+    static final long UNLISTED_DELAY_NANOSECONDS = TimeUnit.SECONDS.toNanos(4);
 
-    private static final long COLD_DELAY_PER_RANK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
+    static final long COLD_DELAY_PER_RANK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
 
-    private static final long MIN_PAUSE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    static final long MIN_PAUSE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     /** Pause for each known node after a failed read; limits the calls of the fleet. */
-    private static final long PAUSE_PER_NODE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
+    static final long PAUSE_PER_NODE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreReplica.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreReplica.java
@@ -50,15 +50,15 @@
     private static final long RECENT_BURST_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
 
     /** Pause for each known node after which peers are looked for again. */
-    private static final long PAUSE_PER_NODE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
+    static final long PAUSE_PER_NODE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
 
-    private static final long FIND_PEERS_PAUSE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
+    static final long FIND_PEERS_PAUSE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /**
      * Time after which a node without items looks for peers again. When the whole fleet starts, the
      * first listings have few instances or none.
      */
-    private static final long FIND_PEERS_AGAIN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
+    static final long FIND_PEERS_AGAIN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
 
     /** Call that the node makes. */
     public sealed interface Call {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
@@ -20,11 +20,11 @@
     public static final long BURST_WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     private static final long BASE_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(60);
-    private static final long MAX_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
+    static final long MAX_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final int MAX_SHIFT = 10;
 
     /** Entries do not expire during a shorter outage, so that it needs no recovery grace. */
-    private static final long MIN_OUTAGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+    static final long MIN_OUTAGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Call to the store. */
     public sealed interface Call {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -31,7 +31,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(StoreControl.class);
 
     /** Interval at which the expiry of backoffs and grace periods is checked. */
-    private static final long TICK_INTERVAL_MILLISECONDS = 20;
+    static final long TICK_INTERVAL_MILLISECONDS = 20;
 
     /** Receives the results on the control loop. */
     public interface Listener {
@@ -78,10 +78,10 @@
     }
 
     /** A response of another node that takes longer, beyond the wait of its call, is late. */
-    private static final Duration EXPECTED_PEER_RESPONSE = Duration.ofMillis(400);
+    static final Duration EXPECTED_PEER_RESPONSE = Duration.ofMillis(400);
 
     /** The same for the store, which sends whole values. */
-    private static final Duration EXPECTED_STORE_RESPONSE = Duration.ofMillis(1_200);
+    static final Duration EXPECTED_STORE_RESPONSE = Duration.ofMillis(1_200);
 
     private final EventLoop mLoop;
     private final ItemStore mStore;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -44,7 +44,7 @@
     /** Largest body of a refused request that is read and discarded to keep the connection open. */
     private static final int MAX_SKIPPED_BODY_BYTES = 65_536;
 
-    private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
+    static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
 
     /**
      * Retry-After of a request that the entry refuses; about the time that a node with cold code
@@ -53,7 +53,7 @@
     private static final int ENTRY_RETRY_AFTER_MILLISECONDS = 500;
 
     private static final long IDLE_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(75);
-    private static final long DRAIN_IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    static final long DRAIN_IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
     private final CallerServer mServer;
     private final EntryGateway mEntry;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
@@ -29,7 +29,7 @@
      * receipt of the last answer, which the operating system already holds and delivers even after
      * the process exits.
      */
-    private static final long LINK_CLOSE_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+    static final long LINK_CLOSE_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private enum Step {
         SERVING,
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -48,7 +48,7 @@
      * Tick interval while the home has no requests, and interval of the periodic tasks that
      * tolerate it. Keeps the CPU use of an idle node low.
      */
-    private static final long SLOW_TICK_MILLISECONDS = 100;
+    static final long SLOW_TICK_MILLISECONDS = 100;
 
     private static final long SLOW_TICK_NANOSECONDS =
             TimeUnit.MILLISECONDS.toNanos(SLOW_TICK_MILLISECONDS);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -22,7 +22,7 @@
      * Time after the deadline in which the answer of the home node may still arrive. Only the home
      * node knows whether the request has run.
      */
-    private static final long DEADLINE_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
+    static final long DEADLINE_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -29,10 +29,10 @@
     static final long IDLE_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(30);
 
     /** Bounds the wait for an instance that is down; pending requests are then sent elsewhere. */
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 400;
+    static final int CONNECT_TIMEOUT_MILLISECONDS = 400;
 
     /** Interval at which a failed peer is probed with connection attempts, without a request. */
-    private static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
+    static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
 
     /** Probing stops after this time; the peer is then connected to only for a request. */
     private static final long MAX_PROBING_NANOSECONDS = TimeUnit.SECONDS.toNanos(20);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -36,7 +36,7 @@
     private static final int MAX_IDLE_CONNECTIONS = 128;
 
     /** The target runs on the same instance, so a slower connect means that it is down. */
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
+    static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
 
     private static final int MAX_INITIAL_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
