Show that an upstream is not used again after a long failure

A link that failed is probed for 20 s. After that nothing connects to the upstream and its state stays FAILED, which entries use only as a last resort.

--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/ReturningPeerTest.java
@@ -0,0 +1,86 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import org.foxtailmoor.core.routing.LinkState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests an upstream that an entry could not reach for a while. */
+class ReturningPeerTest {
+    private static final int REQUESTS = 40;
+    private static final long PROBING_MILLISECONDS = 21_000;
+    private static final long TICKS_MILLISECONDS = 300;
+    private static final long PROBE_MILLISECONDS = 800;
+
+    private final TestFleet mFleet =
+            new TestFleet(
+                    new PlacementPolicies(HeaderNames.DEFAULT, () -> TestFleet.ORDERS, 1, 100));
+    private final FakeTarget mTarget;
+    private TestFleet.Node mEntry;
+
+    ReturningPeerTest() throws Exception {
+        mTarget = new FakeTarget().echoPaths();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        mTarget.close();
+    }
+
+    /** Guards against upstreams that get no requests again because probing has ended. */
+    @Test
+    void peerThatWasUnreachableForLongIsUsedAgain() throws Exception {
+        checkReturnAfter(PROBING_MILLISECONDS);
+    }
+
+    /** Guards against upstreams that get no requests again after a short failure. */
+    @Test
+    void peerThatWasUnreachableBrieflyIsUsedAgain() throws Exception {
+        checkReturnAfter(PROBE_MILLISECONDS);
+    }
+
+    private void checkReturnAfter(long milliseconds) throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        mEntry = mFleet.add("entry", TestFleet.ORDERS, mTarget.address());
+        mFleet.add("good", TestFleet.LOOKUPS, mTarget.address());
+        mFleet.addExternal("returning", TestFleet.LOOKUPS, port);
+        mFleet.publish();
+        sendRequests();
+        assertThat(linkState()).isEqualTo(LinkState.FAILED);
+        mFleet.advance(milliseconds);
+        awaitTicks();
+        try (ServerSocket back = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            mFleet.advance(PROBE_MILLISECONDS);
+            awaitTicks();
+            sendRequests();
+            assertThat(linkState()).isNotEqualTo(LinkState.FAILED);
+        }
+    }
+
+    /** The periodic tasks of the data loop run in real time. */
+    private void awaitTicks() throws Exception {
+        mFleet.loop().schedule(() -> null, TICKS_MILLISECONDS, TimeUnit.MILLISECONDS).get();
+    }
+
+    private void sendRequests() throws Exception {
+        for (int i = 0; i < REQUESTS; i++) {
+            mFleet.get(mEntry, "/racks/" + i).get();
+        }
+    }
+
+    private LinkState linkState() throws Exception {
+        return mEntry.data().explain("GET", "/racks/1").get().upstreams().stream()
+                .filter(state -> state.upstream().id().equals("returning"))
+                .findFirst()
+                .orElseThrow()
+                .linkState();
+    }
+}
