Probe an upstream that failed as long as it is listed

An entry that could not reach an upstream for over 20 s never used it again while others were healthy: probing ended, and the state of the link stayed FAILED. The upstream of a machine that was cut off got no requests from such entries after the cut. A failed upstream is now probed until the instance list no longer has it.

ReturningPeerTest.peerThatWasUnreachableForLongIsUsedAgain failed before ("Accept timed out"). Its first version waited for ticks in real time and failed on a busy machine; it now waits for the connection.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -34,9 +34,6 @@
     /** Interval at which a failed peer is probed with connection attempts, without a request. */
     static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
 
-    /** Probing stops after this time; the peer is then connected to only for a request. */
-    private static final long MAX_PROBING_NANOSECONDS = TimeUnit.SECONDS.toNanos(20);
-
     private static final int MAX_PENDING_REQUESTS = 1_024;
 
     /** A request that waits for the link to be established. */
@@ -63,7 +60,6 @@
     private boolean mRetired;
     private boolean mLeaving;
     private boolean mFailed;
-    private long mFailedSinceNanoseconds;
     private long mLastConnectNanoseconds;
     private long mLastUsedNanoseconds;
 
@@ -165,24 +161,18 @@
             mCurrentLink = mReplacementLink;
             mReplacementLink = null;
             if (failed && mCurrentLink == null) {
-                markFailed();
+                mFailed = true;
             }
             mLinks.upstreams().setLinkState(mUpstream.id(), stateAfterClose(failed));
         }
     }
 
-    private void markFailed() {
-        if (!mFailed) {
-            mFailed = true;
-            mFailedSinceNanoseconds = mLinks.ticker().nanoTime();
-        }
-    }
-
+    /** Returns whether the peer has failed and is still an upstream of the instance list. */
     private boolean isProbing() {
         return mFailed
                 && !mRetired
                 && !mLinks.isClosing()
-                && mLinks.ticker().nanoTime() - mFailedSinceNanoseconds < MAX_PROBING_NANOSECONDS;
+                && mLinks.upstreams().linkState(mUpstream.id()) == LinkState.FAILED;
     }
 
     private boolean isProbeDue() {
@@ -272,7 +262,7 @@
         mConnecting = false;
         if (!future.isSuccess()) {
             if (mCurrentLink == null) {
-                markFailed();
+                mFailed = true;
                 mLinks.upstreams().setLinkState(mUpstream.id(), LinkState.FAILED);
             }
             failPending();
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/ReturningPeerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/ReturningPeerTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.core.routing.LinkState;
 import org.junit.jupiter.api.AfterEach;
@@ -11,9 +12,8 @@
 
 /** Tests an upstream that an entry could not reach for a while. */
 class ReturningPeerTest {
-    private static final int REQUESTS = 40;
     private static final long PROBING_MILLISECONDS = 21_000;
-    private static final long TICKS_MILLISECONDS = 300;
+    private static final int TIMEOUT_MILLISECONDS = 10_000;
     private static final long PROBE_MILLISECONDS = 800;
 
     private final TestFleet mFleet =
@@ -50,29 +50,25 @@
             port = free.getLocalPort();
         }
         mEntry = mFleet.add("entry", TestFleet.ORDERS, mTarget.address());
-        mFleet.add("good", TestFleet.LOOKUPS, mTarget.address());
         mFleet.addExternal("returning", TestFleet.LOOKUPS, port);
         mFleet.publish();
-        sendRequests();
+        // Without another upstream, the first request tries the one that cannot be reached.
+        mFleet.get(mEntry, "/racks/0").get();
         assertThat(linkState()).isEqualTo(LinkState.FAILED);
+        mFleet.add("good", TestFleet.LOOKUPS, mTarget.address());
+        mFleet.publish();
         mFleet.advance(milliseconds);
-        awaitTicks();
         try (ServerSocket back = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            back.setSoTimeout(TIMEOUT_MILLISECONDS);
             mFleet.advance(PROBE_MILLISECONDS);
-            awaitTicks();
-            sendRequests();
-            assertThat(linkState()).isNotEqualTo(LinkState.FAILED);
-        }
-    }
-
-    /** The periodic tasks of the data loop run in real time. */
-    private void awaitTicks() throws Exception {
-        mFleet.loop().schedule(() -> null, TICKS_MILLISECONDS, TimeUnit.MILLISECONDS).get();
-    }
-
-    private void sendRequests() throws Exception {
-        for (int i = 0; i < REQUESTS; i++) {
-            mFleet.get(mEntry, "/racks/" + i).get();
+            try (Socket link = back.accept()) {
+                long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
+                // The node completes its end of the connection on the data loop.
+                while (linkState() == LinkState.FAILED && System.nanoTime() - end < 0) {
+                    mFleet.onLoop(() -> null);
+                }
+                assertThat(linkState()).isNotEqualTo(LinkState.FAILED);
+            }
         }
     }
 
