Apply differences on earlier values of an item

A node that reads two peers at the same time asks both with the same revision. The first response changes the item, and the difference of the second one, though newer, then had no base: it was discarded as lost history, and every item was read again, 225 KB over a link that was already full.

The receiver keeps a few earlier values of large items already; they are now bases as well. The format is unchanged.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
@@ -229,6 +229,19 @@
         return null;
     }
 
+    /**
+     * Returns the version of an item with exactly a revision, or null if it is no longer known; see
+     * {@link #valueAt}.
+     */
+    public StoreItem versionOf(String key, long revision) {
+        StoreItem held = mItems.get(key);
+        if (held != null && held.revision() == revision) {
+            return held;
+        }
+        StoreItem earlier = valueAt(key, revision);
+        return earlier != null && earlier.revision() == revision ? earlier : null;
+    }
+
     /** Removes items whose grace period has ended. */
     public void tick() {
         long now = mTicker.nanoTime();
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
@@ -63,6 +63,28 @@
         return deflate(built.toByteArray());
     }
 
+    /** Returns a version of an item that the receiver holds or has held, or null. */
+    @FunctionalInterface
+    public interface BaseItems {
+        /** Returns the version of an item with exactly a revision, or null if it is not known. */
+        StoreItem versionOf(String key, long revision);
+    }
+
+    /**
+     * Decodes a batch whose deltas are based on the held items; see {@link #decode(ByteString,
+     * Function, BaseItems)}.
+     */
+    public static StoreItemBatch decode(ByteString bytes, Function<String, StoreItem> heldItems) {
+        Objects.requireNonNull(heldItems, "heldItems");
+        return decode(
+                bytes,
+                heldItems,
+                (key, revision) -> {
+                    StoreItem held = heldItems.apply(key);
+                    return held != null && held.revision() == revision ? held : null;
+                });
+    }
+
     /**
      * Decodes a batch. A change that is not newer than the held item is skipped; in a complete
      * batch the held item takes its place, so that the batch still has every item.
@@ -70,12 +92,16 @@
      * @param bytes result of {@link #encode}, not null
      * @param heldItems returns the version of an item that the receiver holds, by key, or null if
      *     it holds none
+     * @param baseItems returns the bases of deltas, not null; the receiver may hold a later version
+     *     than at the time of its request
      * @throws FoxtailmoorException of kind PLATFORM_HISTORY_LOST if the receiver does not hold the
      *     base of a delta, of kind PLATFORM_UNAVAILABLE if the message is malformed or exceeds
      *     {@link #MAX_BATCH_BYTES}
      */
-    public static StoreItemBatch decode(ByteString bytes, Function<String, StoreItem> heldItems) {
+    public static StoreItemBatch decode(
+            ByteString bytes, Function<String, StoreItem> heldItems, BaseItems baseItems) {
         Objects.requireNonNull(heldItems, "heldItems");
+        Objects.requireNonNull(baseItems, "baseItems");
         ItemBatch message = parse(inflate(bytes));
         List<StoreItem> items = new ArrayList<>(message.getItemsCount());
         int remainingBytes = MAX_BATCH_BYTES;
@@ -83,7 +109,7 @@
             requireValid(change);
             StoreItem held = heldItems.apply(change.getKey());
             if (held == null || held.revision() < change.getRevision()) {
-                StoreItem item = toItem(change, held, remainingBytes);
+                StoreItem item = toItem(change, baseItems, remainingBytes);
                 remainingBytes -= item.isRemoved() ? 0 : item.value().size();
                 items.add(item);
             } else if (message.getComplete()) {
@@ -129,7 +155,7 @@
         return delta.getSerializedSize() < item.value().size() ? delta : null;
     }
 
-    private static StoreItem toItem(ItemChange change, StoreItem held, int maxBytes) {
+    private static StoreItem toItem(ItemChange change, BaseItems baseItems, int maxBytes) {
         return switch (change.getContentCase()) {
             case REMOVED -> StoreItem.removed(change.getKey(), change.getRevision());
             case VALUE -> {
@@ -140,11 +166,8 @@
             }
             case DELTA -> {
                 ItemDelta delta = change.getDelta();
-                boolean missing =
-                        held == null
-                                || held.isRemoved()
-                                || held.revision() != delta.getBaseRevision();
-                if (missing) {
+                StoreItem base = baseItems.versionOf(change.getKey(), delta.getBaseRevision());
+                if (base == null || base.isRemoved()) {
                     throw FoxtailmoorException.of(
                             ErrorKind.PLATFORM_HISTORY_LOST,
                             "revision "
@@ -153,7 +176,7 @@
                                     + change.getKey()
                                     + " is needed as base and not held");
                 }
-                ByteString value = ByteDelta.apply(held.value(), delta.getEdits(), maxBytes);
+                ByteString value = ByteDelta.apply(base.value(), delta.getEdits(), maxBytes);
                 yield new StoreItem(change.getKey(), change.getRevision(), value);
             }
             case CONTENT_NOT_SET -> throw malformed(change.getKey() + " has no content", null);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
@@ -228,7 +228,8 @@
 
     private void onItems(OpenCall open, StoreReplica.Call.ReadPeer read, ItemResponse response) {
         StoreItemBatch decoded =
-                StoreItemBatchCodec.decode(response.getBatch(), mReplica.copy()::item);
+                StoreItemBatchCodec.decode(
+                        response.getBatch(), mReplica.copy()::item, mReplica.copy()::versionOf);
         StoreItemBatch batch =
                 new StoreItemBatch(
                         decoded.items().stream().map(mShared).toList(),
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
@@ -213,6 +213,28 @@
             mOther.apply(StoreItemBatchCodec.decode(bytes, mOther::item));
             assertThat(mOther.item("a")).isEqualTo(versions[3]);
         }
+
+        /** Guards against overlapping reads of which the second one is lost after the first. */
+        @Test
+        void deltaOnAnEarlierValueIsAppliedAfterALaterOneHasArrived() {
+            String large = "x".repeat(5_000);
+            list(mCopy, 5, new StoreItem("a", 5, ByteString.copyFromUtf8(large + 5)));
+            read(mOther, mCopy);
+            change(mCopy, new StoreItem("a", 6, ByteString.copyFromUtf8(large + 6)));
+            ByteString first = encodeAfter(5);
+            change(mCopy, new StoreItem("a", 7, ByteString.copyFromUtf8(large + 7)));
+            ByteString second = encodeAfter(5);
+            for (ByteString response : List.of(first, second)) {
+                mOther.apply(
+                        StoreItemBatchCodec.decode(response, mOther::item, mOther::versionOf));
+            }
+            assertThat(mOther.item("a")).isEqualTo(mCopy.item("a"));
+        }
+
+        private ByteString encodeAfter(long revision) {
+            return StoreItemBatchCodec.encode(
+                    mCopy.batchAfter(revision), key -> mCopy.valueAt(key, revision));
+        }
     }
 
     @Nested
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -261,7 +261,8 @@
 
     private void onItemResponse(StoreReplica.Call.ReadPeer call, ItemResponse response) {
         StoreItemBatch batch =
-                StoreItemBatchCodec.decode(response.getBatch(), mReplica.copy()::item);
+                StoreItemBatchCodec.decode(
+                        response.getBatch(), mReplica.copy()::item, mReplica.copy()::versionOf);
         long age = TimeUnit.MILLISECONDS.toNanos(response.getSourceAgeMilliseconds());
         if (mReplica.isLate(call)) {
             mReplica.onLateBatch(call, batch, age);
