Keep a read under way at the best source while a copy is outdated

Cause: late, avoided, outdated and not due were separate states of a source, and a combination of them left none. Failure of the regression test on the code before:

StoreReplicaTest.failedPeerIsAskedAgainWhileTheOtherOneIsLate Expecting ArrayList: [] to contain: [ReadPeer[host=10.0.0.1, afterRevision=5]]

Now SourceRanking orders all sources by one state. A node whose copy is outdated reads the next one after 250 ms beside the pending one; a source that has failed, is late or was outdated is a last choice instead of a forbidden one, and the one asked least recently comes first. Other nodes than the first have a further source near the root. The delays before a read of the store are bounded by rank also in large regions (0.1 s instead of 1 s for each rank above 3, at most 0.9 s for a node whose peers have all failed, 1.5 s if all are late). A failed late read of the store now counts for the pause that bounds the calls of the fleet.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/DirectReadSchedule.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/DirectReadSchedule.java
@@ -9,6 +9,18 @@
  * time whatever fails. Confined to the control loop.
  */
 final class DirectReadSchedule {
+    /** Whether a node reaches its peers. */
+    enum Reach {
+        /** At least one responds or has not been asked. */
+        SOME,
+
+        /** All have failed or are late; the link of the node itself may be full. */
+        LATE,
+
+        /** All have failed. */
+        NONE
+    }
+
     /** Highest rank of the nodes that replace an outdated first node of their region. */
     private static final int LAST_STANDBY_RANK = 3;
 
@@ -18,16 +30,23 @@
      */
     private static final long STANDBY_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Time after which the nodes behind the standby readers read the store one after another. */
+    /** Time after which the nodes behind the standby readers read the store. */
     private static final long LAST_RESORT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
-    private static final long LAST_RESORT_PER_RANK_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+    /** Delay for each of them, so that one after another may read whole values. */
+    private static final long LAST_RESORT_PER_RANK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Delay for each rank before a node that reaches none of its peers reads the store. */
     private static final long ISOLATED_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private static final int MAX_ISOLATED_RANK = 6;
 
+    /**
+     * Time that late responses of all peers have before the store is read. On a full link they are
+     * under way, and whole values would delay them further.
+     */
+    private static final long LATE_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     private static final long JITTER_PER_RANK_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
 
     /** Time that the peers of a node without items have before it reads the store. */
@@ -71,10 +90,16 @@
         if (!mSeeking) {
             mSeeking = true;
             mSeekingSinceNanoseconds = mTicker.nanoTime();
-            mJitterNanoseconds = mRandom.nextLong(1 + JITTER_PER_RANK_NANOSECONDS * rank);
+            int steps = Math.min(rank, MAX_ISOLATED_RANK);
+            mJitterNanoseconds = mRandom.nextLong(1 + JITTER_PER_RANK_NANOSECONDS * steps);
         }
     }
 
+    /** Returns whether the source in use was lost and no current one has been found since then. */
+    boolean isSeeking() {
+        return mSeeking;
+    }
+
     /** Records that the source in use is current. */
     void onCurrentSource() {
         mSeeking = false;
@@ -91,9 +116,9 @@
      *
      * @param order place of the node among the others
      * @param complete whether the node has all items
-     * @param isolated whether the node reaches none of its peers
+     * @param reach whether the node reaches its peers
      */
-    boolean isDue(ReadOrder order, boolean complete, boolean isolated) {
+    boolean isDue(ReadOrder order, boolean complete, Reach reach) {
         if (order.rank() == 0 && order.listed()) {
             return true;
         }
@@ -102,21 +127,28 @@
             return false;
         }
         if (complete) {
-            return !mSeeking || now - mSeekingSinceNanoseconds >= delay(order.rank(), isolated);
+            return !mSeeking || now - mSeekingSinceNanoseconds >= delay(order.rank(), reach);
         }
         long base = order.listed() ? COLD_DELAY_NANOSECONDS : UNLISTED_DELAY_NANOSECONDS;
         long delay = base + order.rank() * COLD_DELAY_PER_RANK_NANOSECONDS;
         return now - mPeersFoundNanoseconds - delay >= 0;
     }
 
-    private long delay(int rank, boolean isolated) {
-        if (isolated) {
+    /**
+     * Returns the time from the loss of the source to a read of the store by a node that has all
+     * items.
+     */
+    private long delay(int rank, Reach reach) {
+        if (reach == Reach.NONE) {
             return ISOLATED_DELAY_NANOSECONDS * Math.min(rank, MAX_ISOLATED_RANK)
                     + mJitterNanoseconds;
         }
         if (rank <= LAST_STANDBY_RANK) {
             return STANDBY_DELAY_NANOSECONDS * (rank - 1);
         }
+        if (reach == Reach.LATE) {
+            return LATE_DELAY_NANOSECONDS + mJitterNanoseconds;
+        }
         return LAST_RESORT_NANOSECONDS
                 + LAST_RESORT_PER_RANK_NANOSECONDS * (rank - LAST_STANDBY_RANK - 1);
     }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/ReadOrder.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/ReadOrder.java
@@ -19,8 +19,9 @@
  * @param rank position of the node in its region, 0 for the node that reads the store
  * @param listed whether the node is among the known instances, so that others may read from it
  * @param peers hosts to ask in this order; for rank 0 only while the store does not respond
- * @param standby host that replaces the first node of the region while that one is outdated, and
- *     from which the first node then reads; empty for other nodes or if there is none
+ * @param standby host to ask while the copy is outdated; for the first node of the region the one
+ *     that replaces it, for others one near the root that is not among their peers; empty if there
+ *     is none
  * @param fleetSize number of known hosts
  */
 public record ReadOrder(
@@ -28,6 +29,9 @@
     /** Children of a node. */
     public static final int FAN_OUT = 6;
 
+    /** Stands for the store among the hosts of the sources. */
+    public static final String STORE = "";
+
     /** Copies the peers. */
     public ReadOrder {
         peers = List.copyOf(peers);
@@ -72,10 +76,39 @@
                 ranked.stream().skip(1).limit(1).forEach(peers::add);
             }
         }
-        String standby = listed && rank == 0 && ranked.size() > 1 ? ranked.get(1) : "";
+        String standby = standby(host, rank, listed, ranked, peers);
         return new ReadOrder(rank, listed, new ArrayList<>(peers), standby, fleetSize);
     }
 
+    /**
+     * Returns the hosts of all sources in the order of preference: the peers, the {@link #STORE},
+     * which comes first for the first node, and the standby if there is one.
+     */
+    public List<String> sources() {
+        List<String> sources = new ArrayList<>(peers);
+        sources.add(rank == 0 ? 0 : peers.size(), STORE);
+        if (!standby.isEmpty() && !peers.contains(standby)) {
+            sources.add(standby);
+        }
+        return sources;
+    }
+
+    private static String standby(
+            String host, int rank, boolean listed, List<String> ranked, Set<String> peers) {
+        if (rank == 0) {
+            return listed && ranked.size() > 1 ? ranked.get(1) : "";
+        }
+        List<String> nearRoot =
+                ranked.stream()
+                        .limit(Math.min(rank, FAN_OUT + 1))
+                        .filter(other -> !peers.contains(other))
+                        .toList();
+        long weight = RendezvousHash.weight("", host);
+        return nearRoot.isEmpty()
+                ? ""
+                : nearRoot.get((int) Math.floorMod(weight, (long) nearRoot.size()));
+    }
+
     /**
      * Spreads the unlisted hosts, of which a node knows none, over the places behind the others.
      */
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreReplica.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreReplica.java
@@ -2,13 +2,10 @@
 
 import io.netty.util.concurrent.Ticker;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.foxtailmoor.protocol.generated.Instance;
@@ -28,38 +25,29 @@
  *
  * <p>A call that takes long is not given up: the node reads another source in the meantime and
  * still applies the late response. On a full link every response is late.
+ *
+ * <p>A node whose copy is outdated always reads the best source that it is not reading yet, see
+ * {@link SourceRanking}. A source that has failed is then only the last choice, not excluded: the
+ * others may be silent.
  */
 public final class StoreReplica {
-    /** Time for which a peer that did not respond is not asked again. */
+    /** Time for which other sources are preferred to a peer that did not respond. */
     static final long FAILED_PEER_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
 
     /** Time for which a peer that does not have all items yet is not asked again. */
     static final long INCOMPLETE_PEER_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /**
+     * Time after which a node whose copy is outdated reads the next source as well. A source with a
+     * newer copy responds at once.
+     */
+    static final long NEXT_SOURCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
+
     /** Shortest use of another source before the first one is tried again. */
     private static final long MIN_DETOUR_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
 
     private static final long DETOUR_JITTER_NANOSECONDS = TimeUnit.SECONDS.toNanos(4);
 
-    /** Age of the copy above which the store is listed, because a watch returns every version. */
-    private static final long MAX_GAP_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
-
-    /** The same age while large items change in quick succession. */
-    private static final long MAX_GAP_IN_BURST_NANOSECONDS = StoreWatcher.BURST_WINDOW_NANOSECONDS;
-
-    private static final long RECENT_BURST_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
-
-    /** Pause for each known node after which peers are looked for again. */
-    private static final long PAUSE_PER_NODE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
-
-    private static final long FIND_PEERS_PAUSE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
-
-    /**
-     * Time after which a node without items looks for peers again. When the whole fleet starts, the
-     * first listings have few instances or none.
-     */
-    private static final long FIND_PEERS_AGAIN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
-
     /** Call that the node makes. */
     public sealed interface Call {
         /** Reads the first page of the instances from the store. */
@@ -85,15 +73,15 @@
     private final StoreWatcher mWatcher;
     private final DirectReadSchedule mDirectReads;
     private final long mMaxAgeNanoseconds;
-    private final Map<String, Long> mAvoidedPeers = new HashMap<>();
-    private final Set<Call> mLateCalls = new HashSet<>();
+    private final PeerStates mPeerStates;
+    private final PeerSearch mPeerSearch;
     private ReadOrder mOrder = new ReadOrder(0, false, List.of(), "", 1);
     private Call mOpenCall;
-    private boolean mPeersFound;
+    private long mOpenCallNanoseconds;
+    private SourceRanking.State mOpenState = SourceRanking.State.USABLE;
     private boolean mReadAll;
     private int mSource;
     private long mFirstSourceNanoseconds;
-    private long mFindPeersNanoseconds;
 
     private StoreReplica(Builder builder) {
         mTicker = Objects.requireNonNull(builder.mTicker, "ticker");
@@ -103,8 +91,9 @@
         mCopy = StoreCopy.of(mTicker, builder.mRemovalGrace);
         mWatcher = StoreWatcher.of(mTicker, mRandom, mCopy, builder.mBurstPause);
         mMaxAgeNanoseconds = builder.mMaxAge.toNanos();
-        mFindPeersNanoseconds = mTicker.nanoTime();
+        mPeerSearch = new PeerSearch(mTicker, mRandom);
         mDirectReads = new DirectReadSchedule(mTicker, mRandom);
+        mPeerStates = new PeerStates(mTicker);
     }
 
     /** Returns a builder without values. */
@@ -130,23 +119,30 @@
     /** Replaces the known instances. */
     public void setInstances(Collection<Instance> instances) {
         ReadOrder order = ReadOrder.of(mHost, mRegion, instances);
-        boolean sameSources = order.rank() == mOrder.rank() && order.peers().equals(mOrder.peers());
+        boolean sameSources =
+                order.rank() == mOrder.rank() && order.sources().equals(mOrder.sources());
         mOrder = order;
         if (!sameSources) {
             mSource = 0;
-            mAvoidedPeers.keySet().retainAll(order.peers());
+            mPeerStates.retainAll(order.sources());
         }
     }
 
-    /** Returns the call to make now, or null if one is pending or none is due. */
+    /**
+     * Returns the call to make now, or null if none is due. While a call is pending and the copy is
+     * outdated, another source is read beside it; the pending call is then late, see {@link
+     * #onLate}.
+     */
     public Call nextCall() {
         if (mOpenCall != null) {
-            return null;
+            return nextCallBesideOpenCall();
         }
-        mOpenCall = findPeersCall();
-        if (mOpenCall == null && mPeersFound) {
+        boolean findPeers = mPeerSearch.isDue() && !mCopy.isComplete();
+        mOpenCall = findPeers ? new Call.FindPeers() : null;
+        if (mOpenCall == null && mPeerSearch.hasFound()) {
             mOpenCall = chooseCall();
         }
+        mOpenCallNanoseconds = mTicker.nanoTime();
         return mOpenCall;
     }
 
@@ -154,12 +150,10 @@
     public void onPeers(ItemStore.Page page) {
         mOpenCall = null;
         page.items().forEach(mCopy::apply);
-        if (!mPeersFound) {
-            mPeersFound = true;
+        if (!mPeerSearch.hasFound()) {
             mDirectReads.onPeersFound();
         }
-        pauseFindPeers(
-                FIND_PEERS_AGAIN_NANOSECONDS + page.items().size() * PAUSE_PER_NODE_NANOSECONDS);
+        mPeerSearch.onPage(page.items().size());
     }
 
     /**
@@ -170,18 +164,18 @@
     public void onLate() {
         if (mOpenCall != null) {
             leaveOpenCall();
-            useNextSource();
+            mDirectReads.onSourceLost(mOrder.rank());
         }
     }
 
     /** Returns whether another source is read while a call is pending. */
     public boolean isLate(Call call) {
-        return mLateCalls.contains(call);
+        return mPeerStates.isLate(call);
     }
 
     /** Returns the number of calls that are late and still pending. */
     public int lateCalls() {
-        return mLateCalls.size();
+        return mPeerStates.lateCalls();
     }
 
     /** Returns whether the store is the source in use. */
@@ -191,27 +185,36 @@
 
     /** Applies a page that a late call has returned. */
     public void onLatePage(Call.ReadStore call, ItemStore.Page page) {
-        mLateCalls.remove(call);
+        mPeerStates.removeLate(call);
         mWatcher.onPage(page);
+        onLateStoreResponse();
     }
 
     /** Applies changes that a late call has returned. */
     public void onLateChanges(Call.ReadStore call, ItemStore.Changes changes) {
-        mLateCalls.remove(call);
+        mPeerStates.removeLate(call);
         mWatcher.onChanges(changes);
+        onLateStoreResponse();
     }
 
     /**
      * Applies a late response of another node; see {@link #onBatch}. If this node waits for whole
-     * values of the store, it continues with the differences of that node.
+     * values of the store or for a source that is worse, it continues with the differences of that
+     * node.
      */
     public void onLateBatch(Call.ReadPeer call, StoreItemBatch batch, long ageNanoseconds) {
-        mLateCalls.remove(call);
+        mPeerStates.removeLate(call);
         applyBatch(batch, ageNanoseconds);
-        int source = sourceOf(call.host());
-        if (mOpenCall instanceof Call.ReadStore
-                && source >= 0
-                && ageNanoseconds <= mMaxAgeNanoseconds) {
+        onPeerAge(call.host(), ageNanoseconds);
+        if (ageNanoseconds > mMaxAgeNanoseconds) {
+            return;
+        }
+        int source = mOrder.sources().indexOf(call.host());
+        boolean worse =
+                mOpenCall instanceof Call.ReadStore
+                        || mOpenCall instanceof Call.ReadPeer
+                                && mOpenState != SourceRanking.State.USABLE;
+        if (worse && source >= 0) {
             leaveOpenCall();
             setSource(source);
         }
@@ -219,11 +222,11 @@
 
     /** Records that a late call has failed; see {@link #onFailure}. */
     public void onLateFailure(Call call, boolean historyLost) {
-        mLateCalls.remove(call);
+        mPeerStates.removeLate(call);
         if (call instanceof Call.ReadStore) {
-            mWatcher.onFailure(historyLost);
+            onStoreFailure(historyLost);
         } else if (call instanceof Call.ReadPeer peer && !historyLost) {
-            avoid(peer.host(), FAILED_PEER_NANOSECONDS);
+            mPeerStates.onFailed(peer.host(), FAILED_PEER_NANOSECONDS);
         }
     }
 
@@ -246,12 +249,14 @@
      * @param ageNanoseconds age of the copy of that node
      */
     public void onBatch(StoreItemBatch batch, long ageNanoseconds) {
+        Call call = mOpenCall;
         mOpenCall = null;
         applyBatch(batch, ageNanoseconds);
-        if (ageNanoseconds > mMaxAgeNanoseconds) {
-            useNextSource();
-        } else {
-            onCurrentSource();
+        if (call instanceof Call.ReadPeer peer) {
+            onPeerAge(peer.host(), ageNanoseconds);
+        }
+        if (ageNanoseconds <= mMaxAgeNanoseconds) {
+            returnToFirstSource();
         }
     }
 
@@ -272,26 +277,53 @@
                 mReadAll = true;
                 return;
             }
-            avoid(peer.host(), incomplete ? INCOMPLETE_PEER_NANOSECONDS : FAILED_PEER_NANOSECONDS);
-            useNextSource();
+            mPeerStates.onFailed(
+                    peer.host(),
+                    incomplete ? INCOMPLETE_PEER_NANOSECONDS : FAILED_PEER_NANOSECONDS);
+            mDirectReads.onSourceLost(mOrder.rank());
             return;
         }
         if (call instanceof Call.FindPeers) {
-            pauseFindPeers(FIND_PEERS_PAUSE_NANOSECONDS);
+            mPeerSearch.onFailure();
             return;
         }
+        onStoreFailure(historyLost);
+    }
+
+    private void onStoreFailure(boolean historyLost) {
         mWatcher.onFailure(historyLost);
         if (!historyLost) {
             mDirectReads.onFailure(mOrder.fleetSize());
-            useNextSource();
+            mDirectReads.onSourceLost(mOrder.rank());
         }
     }
 
     private void leaveOpenCall() {
-        mLateCalls.add(mOpenCall);
+        mPeerStates.addLate(mOpenCall, mOpenCallNanoseconds);
         mOpenCall = null;
     }
 
+    /**
+     * Returns the call to make beside the pending one, or null. A node without items makes none,
+     * because two responses with all items would share its link.
+     */
+    private Call nextCallBesideOpenCall() {
+        if (mOpenCall instanceof Call.FindPeers || !mCopy.isComplete() || isCurrent()) {
+            return null;
+        }
+        mDirectReads.onSourceLost(mOrder.rank());
+        List<SourceRanking.Source> sources = sources();
+        int best = SourceRanking.best(sources, mSource);
+        boolean waits = mTicker.nanoTime() - mOpenCallNanoseconds < NEXT_SOURCE_NANOSECONDS;
+        if (best < 0 || waits && sources.get(best).state().compareTo(mOpenState) >= 0) {
+            return null;
+        }
+        leaveOpenCall();
+        mOpenCall = callOf(best, sources.get(best).state());
+        mOpenCallNanoseconds = mTicker.nanoTime();
+        return mOpenCall;
+    }
+
     private void applyBatch(StoreItemBatch batch, long ageNanoseconds) {
         mReadAll = false;
         mCopy.apply(batch);
@@ -299,119 +331,107 @@
         mCopy.confirm(mTicker.nanoTime() - ageNanoseconds);
     }
 
-    private void avoid(String host, long pause) {
-        mAvoidedPeers.put(host, mTicker.nanoTime() + pause);
-    }
-
-    private Call findPeersCall() {
-        boolean due = mTicker.nanoTime() - mFindPeersNanoseconds >= 0;
-        return due && !mCopy.isComplete() ? new Call.FindPeers() : null;
-    }
-
-    private void pauseFindPeers(long pause) {
-        mFindPeersNanoseconds = mTicker.nanoTime() + pause / 2 + mRandom.nextLong(pause);
+    private void onPeerAge(String host, long ageNanoseconds) {
+        boolean outdated = ageNanoseconds > mMaxAgeNanoseconds;
+        mPeerStates.onResponse(host, outdated);
+        if (outdated) {
+            mDirectReads.onSourceLost(mOrder.rank());
+        } else {
+            onCurrentSource();
+        }
     }
 
     private Call chooseCall() {
         // The pause after a burst of changes is no reason to read a peer, which has nothing newer.
-        boolean late = mLateCalls.stream().anyMatch(Call.ReadStore.class::isInstance);
-        if (isStore(mSource) && isDirectReadDue() && !mWatcher.isFailing() && !late) {
-            return storeCall();
+        if (isStore(mSource)
+                && isDirectReadDue()
+                && !mWatcher.isFailing()
+                && !mPeerStates.isStoreLate()) {
+            return mWatcher.isDue() ? callOf(mSource, SourceRanking.State.USABLE) : null;
         }
-        int count = sourceCount();
-        for (int tried = 0; tried < count; tried++) {
-            Call call = callOf((mSource + tried) % count);
-            if (call != null) {
-                setSource((mSource + tried) % count);
-                return call;
-            }
-        }
-        return null;
-    }
-
-    private Call callOf(int source) {
-        if (isStore(source)) {
-            return isDirectReadDue() ? storeCall() : null;
-        }
-        String host = hostOf(source);
-        if (host.isEmpty() || isAvoided(host) || isLate(host)) {
+        List<SourceRanking.Source> sources = sources();
+        int best = SourceRanking.best(sources, mSource);
+        if (best < 0) {
+            mDirectReads.onSourceLost(mOrder.rank());
             return null;
         }
-        boolean all = mReadAll || !mCopy.isComplete();
-        return new Call.ReadPeer(host, all ? 0 : mCopy.revision());
+        return callOf(best, sources.get(best).state());
     }
 
-    /** Returns the host of a source, empty if it must not be read now. */
-    private String hostOf(int source) {
-        int peer = mOrder.rank() == 0 ? source - 1 : source;
-        if (peer < mOrder.peers().size()) {
-            return mOrder.peers().get(peer);
+    private List<SourceRanking.Source> sources() {
+        List<SourceRanking.Source> sources = new ArrayList<>();
+        for (String source : mOrder.sources()) {
+            sources.add(source.equals(ReadOrder.STORE) ? store() : peer(source));
         }
-        // The copy of the standby may be what it has read from this node.
-        return source == mSource || !isCurrent() ? mOrder.standby() : "";
+        return sources;
     }
 
-    /** Returns the source with a host, or -1 if it is no longer one. */
-    private int sourceOf(String host) {
-        for (int source = 0; source < sourceCount(); source++) {
-            if (!isStore(source) && hostOf(source).equals(host)) {
-                return source;
-            }
-        }
-        return -1;
+    private SourceRanking.Source store() {
+        boolean needed = isStore(mSource) || !isCurrent() || mDirectReads.isSeeking();
+        return needed && isDirectReadDue() && mWatcher.isDue()
+                ? SourceRanking.Source.USABLE
+                : SourceRanking.Source.UNAVAILABLE;
     }
 
-    private boolean isAvoided(String host) {
-        Long end = mAvoidedPeers.get(host);
-        return end != null && mTicker.nanoTime() - end < 0;
+    private SourceRanking.Source peer(String host) {
+        boolean open = mOpenCall instanceof Call.ReadPeer read && read.host().equals(host);
+        // The copy of a first node's standby may be what it has read from this node.
+        boolean needed =
+                !host.equals(mOrder.standby())
+                        || host.equals(mOrder.sources().get(mSource))
+                        || !isCurrent() && (mCopy.isComplete() || mOrder.rank() == 0);
+        if (open || !needed) {
+            return SourceRanking.Source.UNAVAILABLE;
+        }
+        return mPeerStates.stateOf(host, mCopy.isComplete() && !isCurrent());
     }
 
-    private boolean isLate(String host) {
-        return mLateCalls.stream()
-                .anyMatch(call -> call instanceof Call.ReadPeer read && read.host().equals(host));
+    private Call callOf(int source, SourceRanking.State state) {
+        mOpenState = state;
+        setSource(source);
+        if (isStore(source)) {
+            return storeCall();
+        }
+        boolean all = mReadAll || !mCopy.isComplete();
+        return new Call.ReadPeer(mOrder.sources().get(source), all ? 0 : mCopy.revision());
     }
 
     private Call storeCall() {
-        boolean burst = mCopy.largeChangeAge() <= RECENT_BURST_NANOSECONDS;
-        long maxGap = burst ? MAX_GAP_IN_BURST_NANOSECONDS : MAX_GAP_NANOSECONDS;
-        if (mCopy.isComplete() && mCopy.age() > maxGap) {
-            mWatcher.listNext();
-        }
-        StoreWatcher.Call call = mWatcher.nextCall();
-        return call == null ? null : new Call.ReadStore(call);
+        mWatcher.listAfterGap();
+        return new Call.ReadStore(mWatcher.nextCall());
     }
 
     private boolean isStore(int source) {
-        return source == (mOrder.rank() == 0 ? 0 : mOrder.peers().size());
+        return mOrder.sources().get(source).equals(ReadOrder.STORE);
     }
 
     private boolean isDirectReadDue() {
-        boolean isolated = mOrder.peers().stream().allMatch(this::isAvoided);
-        return mDirectReads.isDue(mOrder, mCopy.isComplete(), isolated);
+        return mDirectReads.isDue(mOrder, mCopy.isComplete(), mPeerStates.reachOf(mOrder));
+    }
+
+    private void onLateStoreResponse() {
+        if (isCurrent()) {
+            onCurrentSource();
+        }
     }
 
     private void onStoreResponse() {
         mOpenCall = null;
         onCurrentSource();
+        returnToFirstSource();
     }
 
     private void onCurrentSource() {
         mDirectReads.onCurrentSource();
+        mPeerStates.clearOutdated();
+    }
+
+    private void returnToFirstSource() {
         if (mSource > 0 && mTicker.nanoTime() - mFirstSourceNanoseconds >= 0) {
             setSource(0);
         }
     }
 
-    private void useNextSource() {
-        mDirectReads.onSourceLost(mOrder.rank());
-        setSource((mSource + 1) % sourceCount());
-    }
-
-    /** Returns the number of peers, the store and the standby. */
-    private int sourceCount() {
-        return mOrder.peers().size() + 2;
-    }
-
     private void setSource(int source) {
         if (source > 0 && source != mSource) {
             mFirstSourceNanoseconds =
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreWatcher.java
@@ -26,6 +26,14 @@
     /** Entries do not expire during a shorter outage, so that it needs no recovery grace. */
     private static final long MIN_OUTAGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Age of the copy above which the store is listed, because a watch returns every version. */
+    private static final long MAX_GAP_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+
+    /** The same age while large items change in quick succession. */
+    private static final long MAX_GAP_IN_BURST_NANOSECONDS = BURST_WINDOW_NANOSECONDS;
+
+    private static final long RECENT_BURST_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+
     /** Call to the store. */
     public sealed interface Call {
         /** Lists the items after a key. */
@@ -74,9 +82,14 @@
         return new StoreWatcher(ticker, random, copy, burstPause);
     }
 
+    /** Returns whether a call is to be made now. */
+    public boolean isDue() {
+        return !mCallOpen && mTicker.nanoTime() - mNextCallNanoseconds >= 0;
+    }
+
     /** Returns the call to make now, or null if one is pending or none is due. */
     public Call nextCall() {
-        if (mCallOpen || mTicker.nanoTime() - mNextCallNanoseconds < 0) {
+        if (!isDue()) {
             return null;
         }
         mCallOpen = true;
@@ -144,11 +157,13 @@
     }
 
     /**
-     * Lists the items with the next call, because the copy is from before a gap. A watch would
-     * return every version of the items since then, a listing returns only the latest one.
+     * Lists the items with the next call if the copy is from before a gap. A watch would return
+     * every version of the items since then, a listing returns only the latest one.
      */
-    public void listNext() {
-        if (!mCallOpen && !mListing) {
+    public void listAfterGap() {
+        boolean burst = mCopy.largeChangeAge() <= RECENT_BURST_NANOSECONDS;
+        long maxGap = burst ? MAX_GAP_IN_BURST_NANOSECONDS : MAX_GAP_NANOSECONDS;
+        if (mCopy.isComplete() && mCopy.age() > maxGap && !mCallOpen && !mListing) {
             mListing = true;
             mListAfter = "";
         }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreReplicaTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreReplicaTest.java
@@ -190,6 +190,29 @@
             assertThat(replica.nextCall()).isEqualTo(read(replica, 0, 6));
         }
 
+        /** Guards against a node without a source while one peer is late and the other avoided. */
+        @Test
+        void failedPeerIsAskedAgainWhileTheOtherOneIsLate() {
+            StoreReplica replica = complete(4);
+            StoreReplica.Call.ReadPeer parent = (StoreReplica.Call.ReadPeer) replica.nextCall();
+            replica.onLate();
+            assertThat(replica.nextCall()).isEqualTo(read(replica, 1, 5));
+            replica.onFailure(false, false);
+            replica.onLateBatch(parent, batch(false), 0);
+            assertThat(replica.nextCall()).isEqualTo(read(replica, 0, 5));
+            advance(MAX_AGE.toMillis() + 1);
+            replica.onLate();
+            List<StoreReplica.Call> calls = new ArrayList<>();
+            for (int elapsed = 0; elapsed < 1_000; elapsed += 20) {
+                StoreReplica.Call call = replica.nextCall();
+                if (call != null) {
+                    calls.add(call);
+                }
+                advance(20);
+            }
+            assertThat(calls).contains(read(replica, 1, 5));
+        }
+
         /** Guards against a first node that waits for whole values on a full link. */
         @Test
         void firstNodeReadsItsStandbyWhileTheStoreIsLate() {
