Close the reader of other nodes on the control loop

StoreNode closed it on the thread that ended the shutdown, while the control loop may use the same map of connections. An exception there left the termination future open, so that the process would wait for the SIGKILL. Found by reading while looking for processes that outlast the grace of a planned stop; no run has shown it. The shutdown now also completes when a part cannot be closed.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -105,7 +105,6 @@
     private final SnapshotReference<RoutingSnapshot> mSnapshots;
     private final CompletableFuture<Void> mTerminated = new CompletableFuture<>();
     private StoreControl mStoreControl;
-    private HttpPeerItems mPeerItems;
     private DataSide mDataSide;
     private AdminServer mAdminServer;
     private AdminServer mReadyServer;
@@ -246,13 +245,12 @@
         if (mOptions.metricsPort() > 0) {
             mMetricsServer = bindMetricsPort(node);
         }
-        mPeerItems = new HttpPeerItems(mControlLoops, node.adminPort(), mMetrics);
         mStoreControl =
                 new StoreControl(
                         new StoreControl.Dependencies(
                                 controlLoop,
                                 mOptions.store().apply(mControlLoops, mMetrics),
-                                mPeerItems,
+                                new HttpPeerItems(mControlLoops, node.adminPort(), mMetrics),
                                 mOptions.watchTimeout(),
                                 replica,
                                 feed,
@@ -312,7 +310,12 @@
                     "the graceful shutdown did not finish within {}, closing open connections",
                     mOptions.shutdownTimeout());
         }
-        closeAll();
+        try {
+            closeAll();
+        } catch (RuntimeException e) {
+            // The process must end even if a part cannot be closed.
+            LOGGER.error("cannot close all parts of the node", e);
+        }
         // Closing the tracer blocks while the last spans are exported, so it must not run on an
         // event loop.
         CompletableFuture.runAsync(mTracer::close)
@@ -326,7 +329,6 @@
     private void closeAll() {
         if (mStoreControl != null) {
             mStoreControl.close();
-            mPeerItems.close();
         }
         if (mDataSide != null) {
             mDataSide.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/HttpPeerItems.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/HttpPeerItems.java
@@ -15,7 +15,7 @@
 import org.foxtailmoor.protocol.generated.ItemResponse;
 
 /** Reads the items of the store from the admin ports of other nodes. Confined to one thread. */
-public final class HttpPeerItems implements PeerItems, AutoCloseable {
+public final class HttpPeerItems implements PeerItems {
     /**
      * Time for a connection, for the response after the wait and for each further part of it. On a
      * full link they take seconds; {@link StoreControl} reads another node in the meantime.
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerItems.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/PeerItems.java
@@ -5,7 +5,7 @@
 import org.foxtailmoor.protocol.generated.ItemResponse;
 
 /** Reads the items of the store from other nodes. */
-public interface PeerItems {
+public interface PeerItems extends AutoCloseable {
     /**
      * Waits for changes at another node.
      *
@@ -19,4 +19,10 @@
      */
     CompletableFuture<ItemResponse> read(
             String host, long afterRevision, Duration age, Duration wait);
+
+    /** Closes the idle connections. Must be called where the items are read. */
+    @Override
+    default void close() {
+        // Without connections, there is nothing to close.
+    }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -119,7 +119,12 @@
 
     /** Stops making calls. The result of a call in progress is still processed. */
     public void close() {
-        mLoop.execute(() -> mClosed = true);
+        // The reader of other nodes is confined to the loop.
+        mLoop.execute(
+                () -> {
+                    mClosed = true;
+                    mPeers.close();
+                });
     }
 
     /** Catches exceptions, because an exception would cancel all further executions of the tick. */
