--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/BatchAppender.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/BatchAppender.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -21,7 +22,8 @@
     /** Time for which events are batched into one write. */
     private static final long BATCHING_MILLISECONDS = 20;
 
-    private static final long STOP_TIMEOUT_MILLISECONDS = 500;
+    /** Longest wait for the writer thread when the appender stops. */
+    static final Duration STOP_TIMEOUT = Duration.ofMillis(150);
 
     private final Encoder<ILoggingEvent> mEncoder;
     private final OutputStream mOutput;
@@ -49,14 +51,14 @@
         mWriter.start();
     }
 
-    /** Writes the queued events, waiting at most half a second for the writer thread. */
+    /** Writes the queued events, waiting at most 150 ms for the writer thread. */
     @Override
     public void stop() {
         super.stop();
         mStopping = true;
         mWriter.interrupt();
         try {
-            mWriter.join(STOP_TIMEOUT_MILLISECONDS);
+            mWriter.join(STOP_TIMEOUT.toMillis());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/JsonLogConfigurator.java
@@ -13,6 +13,7 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.OutputStream;
+import java.time.Duration;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -34,6 +35,9 @@
     /** Value of the output property of long-running programs. */
     public static final String OUTPUT_BATCH = "batch";
 
+    /** Longest duration of {@link #flush}. */
+    public static final Duration MAX_FLUSH_TIME = BatchAppender.STOP_TIMEOUT;
+
     private static final String STANDARD_ERROR = "System.err";
     private static final int OUTPUT_BUFFER_BYTES = 16_384;
 
