Take requests in a shutdown only if they can end before the cut

Callers of a leaving node saw requests, also such that must not be repeated, cut without an answer at the end of the grace: while its target was busy, the node kept the caller port open and passed requests on up to the cut, without comparing the time left with their deadlines. The comparison is made at arrival, before each attempt, and at the home before a request is accepted and dispatched; there, requests that must not be repeated always need it. What is still open at the cut gets an answer: not run if no attempt was made, unknown otherwise.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/Node.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -135,8 +136,10 @@
             mLeaving = true;
         }
         LOGGER.info("leaving");
-        CompletableFuture.allOf(mControlPlane.startLeaving(), mDataSide.leave())
-                .orTimeout(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        CompletableFuture.allOf(
+                        mControlPlane.startLeaving(),
+                        mDataSide.leave(Duration.ofSeconds(SHUTDOWN_TIMEOUT_SECONDS)))
+                .orTimeout(SHUTDOWN_TIMEOUT_SECONDS + 1, TimeUnit.SECONDS)
                 .whenComplete((unused, failure) -> finishShutdown(failure));
         return mTerminated;
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -51,6 +51,9 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(StoreNode.class);
     private static final long LOOP_SHUTDOWN_TIMEOUT_SECONDS = 1;
 
+    /** Time after the shutdown timeout in which a delayed data loop may still end its requests. */
+    private static final Duration DATA_LOOP_DELAY = Duration.ofMillis(150);
+
     /**
      * Settings and collaborators of a node. No component may be null.
      *
@@ -157,7 +160,7 @@
 
     /**
      * Shuts the node down gracefully: drains the data plane, so that no open request is aborted,
-     * until the shutdown timeout.
+     * until the shutdown timeout. Requests that are still open then are answered with an error.
      *
      * @return future that completes when all resources are closed
      */
@@ -170,8 +173,10 @@
         }
         LOGGER.info("leaving");
         mDataSide
-                .leave()
-                .orTimeout(mOptions.shutdownTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .leave(mOptions.shutdownTimeout())
+                .orTimeout(
+                        mOptions.shutdownTimeout().plus(DATA_LOOP_DELAY).toMillis(),
+                        TimeUnit.MILLISECONDS)
                 .whenComplete((unused, failure) -> finishShutdown(failure));
         return mTerminated;
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerConnection.java
@@ -106,6 +106,24 @@
         mChannel.close();
     }
 
+    /**
+     * Answers the open request with an error and closes the connection.
+     *
+     * @param reason reason to log if a request is left without an answer
+     */
+    void endRequest(String reason) {
+        if (mCall != null) {
+            mCall.endByShutdown();
+        } else if (mState == State.SKIPPING_BODY) {
+            respond(mRefusal);
+        }
+        // An answer that has been written is followed by a half-close; a full close could discard
+        // it in transit.
+        if (mState != State.CLOSING || mPendingWrites > 0) {
+            close(reason);
+        }
+    }
+
     /**
      * Closes the connection if it has been idle for {@link #DRAIN_IDLE_NANOSECONDS}. A connection
      * used more recently may have a request in transit; the answer to that request closes it.
@@ -377,7 +395,9 @@
      * wait.
      */
     private static Outcome.Failure newEntryRefusal(ErrorKind kind) {
-        return new Outcome.Failure(kind, ErrorMessages.of(kind), ENTRY_RETRY_AFTER_MILLISECONDS);
+        // Another node can take the request of a node that leaves at once.
+        int retryAfter = kind == ErrorKind.LEAVING ? 0 : ENTRY_RETRY_AFTER_MILLISECONDS;
+        return new Outcome.Failure(kind, ErrorMessages.of(kind), retryAfter);
     }
 
     private static Outcome.Failure newFailure(ErrorKind kind) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CallerServer.java
@@ -49,6 +49,14 @@
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Answers the open requests with an error and closes every connection. */
+    void endOpenRequests() {
+        mLeaving = true;
+        mPort.stop();
+        new ArrayList<>(mConnections)
+                .forEach(connection -> connection.endRequest("the node ended its connections"));
+    }
+
     /** Closes every connection immediately. */
     void closeAll() {
         new ArrayList<>(mConnections)
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataDrain.java
@@ -3,6 +3,8 @@
 import io.netty.util.concurrent.Ticker;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Shuts down the data side gracefully, without interrupting a request. Each tick advances the
@@ -16,8 +18,13 @@
  *       port stops listening.
  *   <li>When every caller has its answer, the node port stops listening and the links are closed.
  * </ol>
+ *
+ * <p>At the end of the shutdown window, requests that are still open get an answer that says
+ * whether they may have run, and everything is closed.
  */
 final class DataDrain {
+    private static final Logger LOGGER = LoggerFactory.getLogger(DataDrain.class);
+
     /**
      * Time for other nodes to stop sending requests, and for callers to get an answer that closes
      * their connection. Connections that are idle throughout are closed afterwards.
@@ -40,6 +47,7 @@
     }
 
     private final Ticker mTicker;
+    private final ShutdownWindow mWindow;
     private final HomeGateway mHome;
     private final EntryGateway mEntry;
     private final CallerServer mCallers;
@@ -54,12 +62,14 @@
     /**
      * Creates a drain that has not started.
      *
+     * @param window started together with the drain
      * @param targetDrainDelayNanoseconds time after the start in which the target still gets
      *     requests
      * @param targetStoppedListener called when the target stops getting requests
      */
     DataDrain(
             Ticker ticker,
+            ShutdownWindow window,
             HomeGateway home,
             EntryGateway entry,
             CallerServer callers,
@@ -68,6 +78,7 @@
             long targetDrainDelayNanoseconds,
             Runnable targetStoppedListener) {
         mTicker = ticker;
+        mWindow = window;
         mTargetDrainDelayNanoseconds = targetDrainDelayNanoseconds;
         mTargetStoppedListener = targetStoppedListener;
         mHome = home;
@@ -80,9 +91,10 @@
     /**
      * Starts the drain; if it has started already, only registers the future.
      *
+     * @param endNanoseconds ticker time at which open requests are ended
      * @param drained future to complete at the end of the drain
      */
-    void start(CompletableFuture<Void> drained) {
+    void start(long endNanoseconds, CompletableFuture<Void> drained) {
         if (mStep == Step.CLOSED) {
             drained.complete(null);
             return;
@@ -92,6 +104,7 @@
             return;
         }
         mDrained = drained;
+        mWindow.start(endNanoseconds);
         mCallers.leave();
         enterStep(Step.NOTIFYING);
         stopTargetWorkWhenDue();
@@ -99,6 +112,11 @@
 
     /** Advances to the next step if the conditions of the current one are met. */
     void tick() {
+        if (isActive() && mWindow.hasEnded()) {
+            endOpenRequests();
+            closeNow();
+            return;
+        }
         switch (mStep) {
             case NOTIFYING -> {
                 stopTargetWorkWhenDue();
@@ -128,6 +146,21 @@
         }
     }
 
+    /** Returns whether the drain has started and not finished. */
+    boolean isActive() {
+        return mStep != Step.SERVING && mStep != Step.CLOSED;
+    }
+
+    /** The home comes first, so that what is queued there is still answered as not run. */
+    private void endOpenRequests() {
+        LOGGER.warn(
+                "the shutdown period is over, ending {} requests of callers and {} at the target",
+                mEntry.openRequests(),
+                mHome.openRequests());
+        mHome.endOpenRequests();
+        mCallers.endOpenRequests();
+    }
+
     /** Closes everything immediately. */
     void closeNow() {
         mCallers.stop();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -86,6 +87,7 @@
     private final DataMetrics mMetrics;
     private final DecisionLog mLog;
     private final EpochClock mClock;
+    private final ShutdownWindow mShutdownWindow;
     private final UpstreamTable mUpstreams;
     private final DataPolicies.Context mContext;
     private final AdmissionPolicy mAdmission;
@@ -117,6 +119,7 @@
         mMetrics = metrics;
         mLog = new DecisionLog(ticker);
         mClock = EpochClock.of(ticker, dependencies.timeOfDay().getAsLong());
+        mShutdownWindow = new ShutdownWindow(ticker);
         mUpstreams = UpstreamTable.of(ticker);
         mCrashGuard = CrashGuard.of(ticker, node.service(), node.id());
         mContext = newContext();
@@ -128,20 +131,7 @@
                         memory,
                         ticker,
                         headers);
-        mHome =
-                new HomeGateway(
-                        node.service(),
-                        new HomeGateway.Dependencies(
-                                loop,
-                                ticker,
-                                memory,
-                                ByteBufAllocator.DEFAULT,
-                                mTarget,
-                                mAdmission,
-                                dependencies.tracer(),
-                                metrics,
-                                headers,
-                                mLog));
+        mHome = newHome(memory);
         mLinks = new Links(loop, node.id(), dependencies.incarnation(), memory, ticker, mUpstreams);
         mEventLoopLag = new EventLoopLag(ticker);
         mEntry =
@@ -150,6 +140,7 @@
                         new EntryGateway.Dependencies(
                                 loop,
                                 ticker,
+                                mShutdownWindow,
                                 dependencies.snapshots(),
                                 dependencies.policies().newRequestDecisions(mContext),
                                 mLinks,
@@ -167,6 +158,23 @@
         registerGauges(metrics, memory);
     }
 
+    private HomeGateway newHome(BodyMemory memory) {
+        return new HomeGateway(
+                mDependencies.settings().node().service(),
+                new HomeGateway.Dependencies(
+                        mDependencies.loop(),
+                        mDependencies.ticker(),
+                        mShutdownWindow,
+                        memory,
+                        ByteBufAllocator.DEFAULT,
+                        mTarget,
+                        mAdmission,
+                        mDependencies.tracer(),
+                        mMetrics,
+                        mDependencies.policies().headers(),
+                        mLog));
+    }
+
     private LinkServer newLinkServer(BodyMemory memory) {
         NodeSettings.NodeSection node = mDependencies.settings().node();
         return new LinkServer(
@@ -181,6 +189,7 @@
     private DataDrain newDrain() {
         return new DataDrain(
                 mDependencies.ticker(),
+                mShutdownWindow,
                 mHome,
                 mEntry,
                 mCallers,
@@ -267,13 +276,16 @@
 
     /**
      * Starts a graceful shutdown: refuses new requests for the target after the drain delay,
-     * completes the open ones and closes all connections.
+     * completes the open ones and closes all connections. Requests that are still open at the
+     * timeout are answered with an error.
      *
+     * @param timeout maximum duration, not null
      * @return future that completes when all connections are closed
      */
-    public CompletableFuture<Void> leave() {
+    public CompletableFuture<Void> leave(Duration timeout) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        mDependencies.loop().execute(() -> mDrain.start(drained));
+        long end = mDependencies.ticker().nanoTime() + timeout.toNanos();
+        mDependencies.loop().execute(() -> mDrain.start(end, drained));
         return drained;
     }
 
@@ -355,7 +367,8 @@
             // A failing task must not end the periodic tick.
             LOGGER.error("a data tick failed", e);
         }
-        long delayMilliseconds = mHome.isIdle() ? SLOW_TICK_MILLISECONDS : TICK_MILLISECONDS;
+        boolean slow = mHome.isIdle() && !mDrain.isActive();
+        long delayMilliseconds = slow ? SLOW_TICK_MILLISECONDS : TICK_MILLISECONDS;
         mEventLoopLag.tickScheduled(TimeUnit.MILLISECONDS.toNanos(delayMilliseconds));
         mDependencies.loop().schedule(this::tick, delayMilliseconds, TimeUnit.MILLISECONDS);
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -113,7 +113,27 @@
         end(ErrorKind.CANCELLED.status(), ErrorKind.CANCELLED);
     }
 
+    /** Ends the call because the node shuts down; as not run unless an attempt may have run. */
+    void endByShutdown() {
+        if (mEnded) {
+            return;
+        }
+        boolean mayHaveRun = mRequest.mayHaveRun() || mAttempt != null;
+        cancelAttempt();
+        failByShutdown(mayHaveRun, "the node shut down before the request ended");
+    }
+
+    private void failByShutdown(boolean mayHaveRun, String message) {
+        ErrorKind kind = mayHaveRun ? ErrorKind.UPSTREAM_FAILED : ErrorKind.LEAVING;
+        mLastFailure = Outcome.Failure.of(kind, message);
+        fail(kind, 0);
+    }
+
     private void attempt() {
+        if (!mGateway.dependencies().shutdownWindow().allows(mRequest.deadlineNanoseconds())) {
+            failByShutdown(mRequest.mayHaveRun(), "the node shuts down before the deadline");
+            return;
+        }
         Decision<Upstream> decision = mGateway.dependencies().decisions().choose(mRequest);
         if (decision.isRefused()) {
             // The last upstream that refused gives the best estimate of when to retry.
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryGateway.java
@@ -30,6 +30,7 @@
     record Dependencies(
             EventLoop loop,
             Ticker ticker,
+            ShutdownWindow shutdownWindow,
             SnapshotReference<RoutingSnapshot> snapshots,
             RequestDecisions decisions,
             Links links,
@@ -92,6 +93,10 @@
         mOpenRequests++;
         EntryCall call = new EntryCall(this, head, decision.value(), snapshotUse, listener);
         call.startDeadline();
+        if (!mDependencies.shutdownWindow().allows(decision.value().deadlineNanoseconds())) {
+            call.refuse(ErrorKind.LEAVING);
+            return Decision.refused(ErrorKind.LEAVING);
+        }
         return Decision.of(call);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -4,7 +4,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Ticker;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.AdmissionPolicy;
@@ -31,6 +33,7 @@
     record Dependencies(
             EventLoop loop,
             Ticker ticker,
+            ShutdownWindow shutdownWindow,
             BodyMemory memory,
             ByteBufAllocator allocator,
             TargetClient target,
@@ -43,6 +46,7 @@
     private final String mServiceId;
     private final Dependencies mDependencies;
     private final List<HomeTask> mCrashedTasks = new ArrayList<>();
+    private final Set<HomeTask> mOpenTasks = new LinkedHashSet<>();
     private RoutingSnapshot mSnapshot;
     private HomeDecisions mDecisions;
     private boolean mLeaving;
@@ -56,7 +60,7 @@
     public Cancellable submit(HomeCall call, OutcomeListener listener) {
         mDependencies.metrics().homeRequests().inc();
         RequestStart start = call.start();
-        ErrorKind refusal = findRefusal(start);
+        ErrorKind refusal = findRefusal(start, call.deadlineNanoseconds());
         if (refusal != null) {
             call.body().release();
             logFailure(start, refusal, "the request is not accepted by this node");
@@ -69,6 +73,7 @@
         String traceparent = HeaderFields.find(start.getHeadersList(), HeaderFields.TRACEPARENT);
         Hop hop = mDependencies.tracer().start("home", start.getRouteId(), traceparent);
         HomeTask task = new HomeTask(this, call, route, key, hop, listener);
+        mOpenTasks.add(task);
         mDecisions.accept(task);
         return task::cancel;
     }
@@ -119,6 +124,40 @@
         return mDecisions == null || (mDecisions.isIdle() && mCrashedTasks.isEmpty());
     }
 
+    int openRequests() {
+        return mOpenTasks.size();
+    }
+
+    /** Ends all requests; those that have not reached the target are refused as not run. */
+    void endOpenRequests() {
+        List<HomeTask> open = List.copyOf(mOpenTasks);
+        // Queued requests first, because a slot that becomes free would start one.
+        open.stream().filter(task -> !task.isDispatched()).forEach(HomeTask::endByShutdown);
+        open.forEach(HomeTask::endByShutdown);
+    }
+
+    void onEnded(HomeTask task) {
+        mOpenTasks.remove(task);
+    }
+
+    /**
+     * Returns whether a request may be sent to the target now. While the node shuts down, a request
+     * that must not be repeated is sent only if its deadline passes before the end.
+     */
+    boolean maySend(RequestStart start, long deadlineNanoseconds) {
+        ShutdownWindow window = mDependencies.shutdownWindow();
+        return start.getIdempotent()
+                ? window.allows(deadlineNanoseconds)
+                : window.endsInTime(deadlineNanoseconds);
+    }
+
+    /**
+     * Refuses a request whose dispatch came too late, after the admission has finished its step.
+     */
+    void refuseAtDispatch(HomeTask task) {
+        mDependencies.loop().execute(() -> mDecisions.notRun(task, ErrorKind.LEAVING));
+    }
+
     void tick() {
         if (mDecisions != null) {
             mDecisions.tick();
@@ -170,13 +209,16 @@
     }
 
     /** Returns the reason to refuse a request, or null to accept it. */
-    private ErrorKind findRefusal(RequestStart start) {
+    private ErrorKind findRefusal(RequestStart start, long deadlineNanoseconds) {
         if (mSnapshot == null || mDecisions == null) {
             return mLeaving ? ErrorKind.LEAVING : ErrorKind.NOT_READY;
         }
         if (start.getMethod().isEmpty() || !start.getPath().startsWith("/")) {
             return ErrorKind.BAD_REQUEST;
         }
-        return mDecisions.refusalReason(start);
+        ErrorKind refusal = mDecisions.refusalReason(start);
+        return refusal == null && !maySend(start, deadlineNanoseconds)
+                ? ErrorKind.LEAVING
+                : refusal;
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -91,6 +91,11 @@
     public void dispatch() {
         RequestStart start = mCall.start();
         mDispatchedNanoseconds = mHome.ticker().nanoTime();
+        if (!mHome.maySend(start, mCall.deadlineNanoseconds())) {
+            mTargetCall = Cancellable.NONE;
+            mHome.refuseAtDispatch(this);
+            return;
+        }
         mTargetCall =
                 mHome.target()
                         .send(
@@ -174,6 +179,28 @@
         }
     }
 
+    /** Returns whether the request has been dispatched. */
+    boolean isDispatched() {
+        return mTargetCall != null;
+    }
+
+    /** Ends the request because the node shuts down. */
+    void endByShutdown() {
+        if (mEnded) {
+            return;
+        }
+        switch (mHome.decisions().cancel(this)) {
+            case NOT_RUN, ENDED -> end(newFailure(ErrorKind.LEAVING, 0));
+            case CANCEL_AT_TARGET -> {
+                mTargetCall.cancel();
+                mHome.decisions().failed(this, ErrorKind.UPSTREAM_FAILED);
+            }
+            default -> {
+                // The closing link or connection reports that the outcome is unknown.
+            }
+        }
+    }
+
     private Outcome.Failure newFailure(ErrorKind kind, int retryAfterMilliseconds) {
         boolean explained = mLastFailure != null && mLastFailure.kind() == kind;
         String message = explained ? mLastFailure.message() : ErrorMessages.of(kind);
@@ -186,6 +213,7 @@
             return;
         }
         mEnded = true;
+        mHome.onEnded(this);
         mCall.body().release();
         long duration = mHome.ticker().nanoTime() - mStartedNanoseconds;
         mHome.metrics().homeDuration().update(duration, TimeUnit.NANOSECONDS);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LeavingTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LeavingTest.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.assertj.core.api.Assertions;
@@ -14,6 +15,8 @@
 
 /** Tests graceful shutdown: open requests complete, and new ones go to other upstreams. */
 class LeavingTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
     private final TestFleet mFleet = new TestFleet();
     private FakeTarget mLeavingTarget;
     private FakeTarget mStayingTarget;
@@ -43,7 +46,7 @@
         RawCaller local = new RawCaller(mLeaving.data().callerAddress());
         local.send("GET /orders/b HTTP/1.1\r\nHost: a\r\n\r\n");
         FakeTarget.Received second = mLeavingTarget.take();
-        CompletableFuture<Void> drained = mLeaving.data().leave();
+        CompletableFuture<Void> drained = mLeaving.data().leave(TIMEOUT);
         // Two thirds of the notice period; the open requests keep the node running.
         mFleet.advance(2 * TimeUnit.NANOSECONDS.toMillis(DataDrain.NOTICE_PERIOD_NANOSECONDS) / 3);
         mFleet.onLoop(() -> null);
@@ -67,7 +70,7 @@
         mFleet.add("staying", TestFleet.ORDERS, mStayingTarget.address());
         mFleet.publish();
         mStayingTarget.echoPaths();
-        CompletableFuture<Void> drained = mLeaving.data().leave();
+        CompletableFuture<Void> drained = mLeaving.data().leave(TIMEOUT);
         for (int i = 0; i < 20; i++) {
             assertThat(mFleet.post(mEntry, "/orders/" + i, "a").get().body())
                     .isEqualTo("/orders/" + i);
@@ -81,7 +84,7 @@
         mStayingTarget.echoPaths();
         CompletableFuture<HttpResponse<String>> open = mFleet.post(mEntry, "/orders", "a");
         FakeTarget.Received received = mLeavingTarget.take();
-        CompletableFuture<Void> drained = mLeaving.data().leave();
+        CompletableFuture<Void> drained = mLeaving.data().leave(TIMEOUT);
         assertThat(mFleet.get(mLeaving, "/racks/1").get().body()).isEqualTo("/racks/1");
         received.answer(200, "done");
         assertThat(open.get().body()).isEqualTo("done");
@@ -90,7 +93,7 @@
 
     @Test
     void requestWithoutAnotherUpstreamIsRefusedAsNotRun() throws Exception {
-        CompletableFuture<Void> drained = mLeaving.data().leave();
+        CompletableFuture<Void> drained = mLeaving.data().leave(TIMEOUT);
         HttpResponse<String> answer = mFleet.post(mEntry, "/orders", "a").get();
         assertThat(answer.statusCode()).isEqualTo(503);
         assertThat(answer.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -1,5 +1,6 @@
 package org.foxtailmoor.node.data;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -173,6 +174,14 @@
         return mLoop.submit(call).get(10, TimeUnit.SECONDS);
     }
 
+    /** Waits until a node has this number of open requests of its callers. */
+    void awaitOpenRequests(Node node, int number) throws Exception {
+        Gauge<?> open = node.metrics().getGauges().get("foxtailmoor.entry.open_requests");
+        while (!onLoop(open::getValue).toString().equals(Integer.toString(number))) {
+            Thread.onSpinWait();
+        }
+    }
+
     CompletableFuture<HttpResponse<String>> get(Node node, String path) {
         return send(HttpRequest.newBuilder(node.uri(path)).GET().build());
     }
