--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -176,8 +176,13 @@
 
     /** Waits until a node has this number of open requests of its callers. */
     void awaitOpenRequests(Node node, int number) throws Exception {
-        Gauge<?> open = node.metrics().getGauges().get("foxtailmoor.entry.open_requests");
-        while (!onLoop(open::getValue).toString().equals(Integer.toString(number))) {
+        awaitGauge(node, "entry.open_requests", number);
+    }
+
+    /** Waits until a gauge of a node has this value. */
+    void awaitGauge(Node node, String name, int value) throws Exception {
+        Gauge<?> gauge = node.metrics().getGauges().get("foxtailmoor." + name);
+        while (!onLoop(gauge::getValue).toString().equals(Integer.toString(value))) {
             Thread.onSpinWait();
         }
     }
