Answer an upload that was never sent completely as not run

An upload whose body waited for the grant of its home until the deadline ended with 504, which promises nothing, although a home submits a request only when its body is complete. The entry now asks the link whether the request was sent completely, at the deadline and at the end of a shutdown, and answers 503 (not run) if it was not. The same holds for a request that waits for a connection. LostLinkTest.bodyThatIsNotGrantedUntilTheDeadlineIsNotRun failed before (expected 503, was 504).

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Cancellable.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Cancellable.java
@@ -11,4 +11,12 @@
      * has ended.
      */
     void cancel();
+
+    /**
+     * Returns whether the request has not been sent completely, so that it cannot run once it is
+     * cancelled.
+     */
+    default boolean isUnsent() {
+        return false;
+    }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -118,7 +118,7 @@
         if (mEnded) {
             return;
         }
-        boolean mayHaveRun = mRequest.mayHaveRun() || mAttempt != null;
+        boolean mayHaveRun = mayHaveRun();
         cancelAttempt();
         failByShutdown(mayHaveRun, "the node shut down before the request ended");
     }
@@ -190,11 +190,15 @@
         if (mEnded) {
             return;
         }
-        boolean mayHaveRun = mRequest.mayHaveRun() || mAttempt != null;
+        boolean mayHaveRun = mayHaveRun();
         cancelAttempt();
         fail(mayHaveRun ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_BEFORE_RUN, 0);
     }
 
+    private boolean mayHaveRun() {
+        return mRequest.mayHaveRun() || (mAttempt != null && !mAttempt.mCancellation.isUnsent());
+    }
+
     private void cancelAttempt() {
         if (mAttempt == null) {
             return;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -92,6 +92,26 @@
         }
     }
 
+    private final class StreamCancellation implements Cancellable {
+        private final long mNumber;
+        private final Stream mStream;
+
+        StreamCancellation(long number, Stream stream) {
+            mNumber = number;
+            mStream = stream;
+        }
+
+        @Override
+        public void cancel() {
+            Link.this.cancel(mNumber);
+        }
+
+        @Override
+        public boolean isUnsent() {
+            return !mStream.mFullySent;
+        }
+    }
+
     private final Channel mChannel;
     private final BodyMemory mMemory;
     private final Ticker mTicker;
@@ -174,7 +194,7 @@
         } else {
             send(number, stream, start, body, isLong && mPeerGrantsBodies);
         }
-        return () -> cancel(number);
+        return new StreamCancellation(number, stream);
     }
 
     private void send(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -40,17 +40,31 @@
     private static final int MAX_PENDING_REQUESTS = 1_024;
 
     /** A request that waits for the link to be established. */
-    private static final class PendingRequest {
+    private final class PendingRequest implements Cancellable {
         private final RequestStart mStart;
         private final BufferedBody mBody;
         private final AttemptListener mListener;
-        private Cancellable mCancellation;
+        private Cancellable mSent;
 
         PendingRequest(RequestStart start, BufferedBody body, AttemptListener listener) {
             mStart = start;
             mBody = body;
             mListener = listener;
         }
+
+        @Override
+        public void cancel() {
+            if (mSent == null) {
+                removePending(this);
+            } else {
+                mSent.cancel();
+            }
+        }
+
+        @Override
+        public boolean isUnsent() {
+            return mSent == null || mSent.isUnsent();
+        }
     }
 
     private final Links mLinks;
@@ -101,12 +115,11 @@
             return Cancellable.NONE;
         }
         PendingRequest pending = new PendingRequest(start, body, listener);
-        pending.mCancellation = () -> removePending(pending);
         mPendingRequests.addLast(pending);
         if (!mConnecting) {
             connect();
         }
-        return () -> pending.mCancellation.cancel();
+        return pending;
     }
 
     /** Runs the periodic tasks of the peer's links. */
@@ -299,8 +312,7 @@
     private void sendPending(Link link) {
         while (!mPendingRequests.isEmpty()) {
             PendingRequest pending = mPendingRequests.removeFirst();
-            pending.mCancellation =
-                    link.openStream(pending.mStart, pending.mBody, pending.mListener);
+            pending.mSent = link.openStream(pending.mStart, pending.mBody, pending.mListener);
         }
     }
 
@@ -309,7 +321,7 @@
         mPendingRequests.clear();
         for (PendingRequest pending : failed) {
             pending.mBody.release();
-            pending.mCancellation = Cancellable.NONE;
+            pending.mSent = Cancellable.NONE;
             pending.mListener.onLinkLost(false);
         }
     }
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LostLinkTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LostLinkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 /** Tests links that close or stop responding while requests are open. */
 class LostLinkTest {
     private static final int MAX_ATTEMPTS = 100;
+    private static final int LONG_BODY_BYTES = 200_000;
 
     private final TestFleet mFleet = new TestFleet();
     private final FakeTarget mTarget;
@@ -78,6 +80,30 @@
         }
     }
 
+    /** Guards against 504 for an upload of which the home has not received a byte. */
+    @Test
+    void bodyThatIsNotGrantedUntilTheDeadlineIsNotRun() throws Exception {
+        mFakeNode =
+                new FakeNode(
+                        (link, message) -> {
+                            if (message.hasLinkHello()) {
+                                link.send(Frames.hello("fake", 1, true));
+                            }
+                        });
+        TestFleet.Node entry = mFleet.add("entry", TestFleet.LOOKUPS, mTarget.address());
+        mFleet.addExternal("fake", TestFleet.ORDERS, mFakeNode.port());
+        mFleet.publish();
+        HttpRequest upload =
+                HttpRequest.newBuilder(entry.uri("/orders"))
+                        .header(HeaderFields.DEADLINE.toString(), "700")
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[LONG_BODY_BYTES]))
+                        .build();
+        HttpResponse<String> answer = mFleet.send(upload).get();
+        assertThat(mFakeNode.requests()).isEqualTo(1);
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+    }
+
     @Test
     void unresponsiveLinkIsReplacedByANewLink() throws Exception {
         CompletableFuture<FakeNode.FakeLink> requested = new CompletableFuture<>();
