--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
@@ -225,8 +225,7 @@
             change(mCopy, new StoreItem("a", 7, ByteString.copyFromUtf8(large + 7)));
             ByteString second = encodeAfter(5);
             for (ByteString response : List.of(first, second)) {
-                mOther.apply(
-                        StoreItemBatchCodec.decode(response, mOther::item, mOther::versionOf));
+                mOther.apply(StoreItemBatchCodec.decode(response, mOther::item, mOther::versionOf));
             }
             assertThat(mOther.item("a")).isEqualTo(mCopy.item("a"));
         }
