--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -51,6 +51,9 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(StoreNode.class);
     private static final long LOOP_SHUTDOWN_TIMEOUT_SECONDS = 1;
 
+    /** Time after the shutdown timeout in which a delayed data loop may still end its requests. */
+    private static final Duration DATA_LOOP_DELAY = Duration.ofMillis(150);
+
     /**
      * Settings and collaborators of a node. No component may be null.
      *
@@ -105,7 +108,6 @@
     private final SnapshotReference<RoutingSnapshot> mSnapshots;
     private final CompletableFuture<Void> mTerminated = new CompletableFuture<>();
     private StoreControl mStoreControl;
-    private HttpPeerItems mPeerItems;
     private DataSide mDataSide;
     private AdminServer mAdminServer;
     private AdminServer mReadyServer;
@@ -158,7 +160,7 @@
 
     /**
      * Shuts the node down gracefully: drains the data plane, so that no open request is aborted,
-     * until the shutdown timeout.
+     * until the shutdown timeout. Requests that are still open then are answered with an error.
      *
      * @return future that completes when all resources are closed
      */
@@ -171,8 +173,10 @@
         }
         LOGGER.info("leaving");
         mDataSide
-                .leave()
-                .orTimeout(mOptions.shutdownTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .leave(mOptions.shutdownTimeout())
+                .orTimeout(
+                        mOptions.shutdownTimeout().plus(DATA_LOOP_DELAY).toMillis(),
+                        TimeUnit.MILLISECONDS)
                 .whenComplete((unused, failure) -> finishShutdown(failure));
         return mTerminated;
     }
@@ -246,13 +250,12 @@
         if (mOptions.metricsPort() > 0) {
             mMetricsServer = bindMetricsPort(node);
         }
-        mPeerItems = new HttpPeerItems(mControlLoops, node.adminPort(), mMetrics);
         mStoreControl =
                 new StoreControl(
                         new StoreControl.Dependencies(
                                 controlLoop,
                                 mOptions.store().apply(mControlLoops, mMetrics),
-                                mPeerItems,
+                                new HttpPeerItems(mControlLoops, node.adminPort(), mMetrics),
                                 mOptions.watchTimeout(),
                                 replica,
                                 feed,
@@ -312,7 +315,12 @@
                     "the graceful shutdown did not finish within {}, closing open connections",
                     mOptions.shutdownTimeout());
         }
-        closeAll();
+        try {
+            closeAll();
+        } catch (RuntimeException e) {
+            // The process must end even if a part cannot be closed.
+            LOGGER.error("cannot close all parts of the node", e);
+        }
         // Closing the tracer blocks while the last spans are exported, so it must not run on an
         // event loop.
         CompletableFuture.runAsync(mTracer::close)
@@ -326,7 +334,6 @@
     private void closeAll() {
         if (mStoreControl != null) {
             mStoreControl.close();
-            mPeerItems.close();
         }
         if (mDataSide != null) {
             mDataSide.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -119,7 +119,12 @@
 
     /** Stops making calls. The result of a call in progress is still processed. */
     public void close() {
-        mLoop.execute(() -> mClosed = true);
+        // The reader of other nodes is confined to the loop.
+        mLoop.execute(
+                () -> {
+                    mClosed = true;
+                    mPeers.close();
+                });
     }
 
     /** Catches exceptions, because an exception would cancel all further executions of the tick. */
@@ -261,7 +266,8 @@
 
     private void onItemResponse(StoreReplica.Call.ReadPeer call, ItemResponse response) {
         StoreItemBatch batch =
-                StoreItemBatchCodec.decode(response.getBatch(), mReplica.copy()::item);
+                StoreItemBatchCodec.decode(
+                        response.getBatch(), mReplica.copy()::item, mReplica.copy()::versionOf);
         long age = TimeUnit.MILLISECONDS.toNanos(response.getSourceAgeMilliseconds());
         if (mReplica.isLate(call)) {
             mReplica.onLateBatch(call, batch, age);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -1,5 +1,6 @@
 package org.foxtailmoor.node.data;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -184,6 +185,19 @@
         return mLoop.submit(call).get(10, TimeUnit.SECONDS);
     }
 
+    /** Waits until a node has this number of open requests of its callers. */
+    void awaitOpenRequests(Node node, int number) throws Exception {
+        awaitGauge(node, "entry.open_requests", number);
+    }
+
+    /** Waits until a gauge of a node has this value. */
+    void awaitGauge(Node node, String name, int value) throws Exception {
+        Gauge<?> gauge = node.metrics().getGauges().get("foxtailmoor." + name);
+        while (!onLoop(gauge::getValue).toString().equals(Integer.toString(value))) {
+            Thread.onSpinWait();
+        }
+    }
+
     CompletableFuture<HttpResponse<String>> get(Node node, String path) {
         return send(HttpRequest.newBuilder(node.uri(path)).GET().build());
     }
