--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/ErrorKind.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/ErrorKind.java
@@ -19,6 +19,8 @@
     BODY_TOO_LARGE(413, Execution.NOT_RUN, false),
     /** The request has crashed its target too often and is quarantined. */
     POISONED(422, Execution.NOT_RUN, false),
+    /** The request has crashed several targets and is refused until its crashes expire. */
+    QUARANTINED(503, Execution.NOT_RUN, false),
     /** The rate limit of the route is exhausted. */
     RATE_LIMITED(429, Execution.NOT_RUN, false),
     /** The node has not finished starting. */
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import net.openhft.hashing.LongTupleHashFunction;
 
 /**
@@ -63,6 +64,11 @@
         return new Fingerprint(buffer.getLong(), buffer.getLong());
     }
 
+    /** Returns the hexadecimal representation, twice {@link #BYTES} characters long. */
+    public String toHex() {
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+    }
+
     /** Returns the binary representation, {@link #BYTES} long. */
     public ByteString toBytes() {
         ByteBuffer buffer = ByteBuffer.allocate(BYTES).putLong(high).putLong(low).flip();
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -1,11 +1,14 @@
 package org.foxtailmoor.core.home;
 
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.AdmissionClass;
 import org.foxtailmoor.core.admission.AdmissionRequest;
@@ -17,19 +20,37 @@
 /**
  * Decisions for requests without idempotency keys: each one is queued for a slot of the target and
  * runs at most once on this node. Not thread-safe; used only on the data loop.
+ *
+ * <p>At most one request that is suspected of crashing targets runs at a time, beside requests that
+ * are not suspected. If the target crashes again, the crash is attributed to the suspect alone, and
+ * if the suspect is answered, it is cleared. Running suspects without other requests would idle the
+ * slots of the target for each request that was in flight at a crash.
  */
 public final class SlotRequests implements HomeDecisions {
+    /** Maximum number of suspects that wait until another one has ended. */
+    static final int HELD_SUSPECT_LIMIT = 4;
+
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+    private final Ticker mTicker;
     private final DeadlineAdmission mAdmission;
+    private final CrashTable mCrashes;
     private final String mAddress;
     private final int mNodePort;
     private final Map<HomeRequest, SlotRequest> mPending = new IdentityHashMap<>();
+    private final ArrayDeque<SlotRequest> mHeldSuspects = new ArrayDeque<>();
     private String mServiceId = "";
     private Upstream mOwnUpstream;
     private boolean mLeaving;
 
-    private SlotRequests(DeadlineAdmission admission, String address, int nodePort) {
+    private SlotRequests(
+            Ticker ticker,
+            DeadlineAdmission admission,
+            CrashTable crashes,
+            String address,
+            int nodePort) {
+        mTicker = Objects.requireNonNull(ticker, "ticker");
+        mCrashes = Objects.requireNonNull(crashes, "crashes");
         mAdmission = Objects.requireNonNull(admission, "admission");
         mAddress = Objects.requireNonNull(address, "address");
         mNodePort = nodePort;
@@ -38,12 +59,19 @@
     /**
      * Creates the decisions of one home.
      *
+     * @param ticker clock, not null
      * @param admission manages the slots of the target, not null
+     * @param crashes crash counts of the service, not null
      * @param address IP address of this node in the instance list, not null
      * @param nodePort port of this node in the instance list
      */
-    public static SlotRequests of(DeadlineAdmission admission, String address, int nodePort) {
-        return new SlotRequests(admission, address, nodePort);
+    public static SlotRequests of(
+            Ticker ticker,
+            DeadlineAdmission admission,
+            CrashTable crashes,
+            String address,
+            int nodePort) {
+        return new SlotRequests(ticker, admission, crashes, address, nodePort);
     }
 
     /**
@@ -60,6 +88,7 @@
         }
         if (isTargetLeaving()) {
             mAdmission.refuseQueued(ErrorKind.LEAVING);
+            refuseHeld();
         }
     }
 
@@ -85,16 +114,22 @@
     public void accept(HomeRequest request) {
         SlotRequest pending = new SlotRequest(request);
         mPending.put(request, pending);
-        mAdmission.submit(pending);
+        submit(pending);
     }
 
     @Override
     public boolean confirmDispatch(HomeRequest request) {
+        if (mPending.containsKey(request) && isPoisoned(request)) {
+            notRun(request, ErrorKind.QUARANTINED);
+        }
         return mPending.containsKey(request);
     }
 
     @Override
     public void completed(HomeRequest request, StoredAnswer answer) {
+        if (mPending.containsKey(request)) {
+            mCrashes.answered(request.fingerprint());
+        }
         end(request, answer.status() >= MIN_SERVER_ERROR_STATUS);
     }
 
@@ -120,6 +155,8 @@
     @Override
     public void crashed(Collection<? extends HomeRequest> requests) {
         List<HomeRequest> all = new ArrayList<>(requests);
+        // Counted before the requests end, so that their repeats are suspected elsewhere.
+        mCrashes.crashed(all.stream().map(HomeRequest::fingerprint).toList());
         all.forEach(request -> failed(request, ErrorKind.UPSTREAM_FAILED));
     }
 
@@ -133,6 +170,7 @@
             return Cancellation.CANCEL_AT_TARGET;
         }
         mAdmission.cancel(pending);
+        mHeldSuspects.remove(pending);
         mPending.remove(request);
         return Cancellation.NOT_RUN;
     }
@@ -150,6 +188,65 @@
     @Override
     public void tick() {
         mAdmission.tick();
+        long now = mTicker.nanoTime();
+        for (SlotRequest held : List.copyOf(mHeldSuspects)) {
+            if (held.deadlineNanoseconds() - now <= 0) {
+                mHeldSuspects.remove(held);
+                held.refuse(ErrorKind.DEADLINE_BEFORE_RUN, 0);
+            }
+        }
+        submitHeld();
+    }
+
+    private boolean isPoisoned(HomeRequest request) {
+        return mCrashes.status(request.fingerprint()) == CrashGuard.Status.POISONED;
+    }
+
+    private boolean isSuspect(HomeRequest request) {
+        return mCrashes.status(request.fingerprint()) == CrashGuard.Status.SUSPECT;
+    }
+
+    private boolean isSuspectRunning() {
+        return mPending.values().stream()
+                .anyMatch(pending -> pending.mDispatched && isSuspect(pending.mRequest));
+    }
+
+    private void submit(SlotRequest pending) {
+        if (mayStart(pending)) {
+            mAdmission.submit(pending);
+        }
+    }
+
+    /** Returns whether a request may run now; if not, refuses or holds it. */
+    private boolean mayStart(SlotRequest pending) {
+        if (isPoisoned(pending.mRequest)) {
+            long remaining = mCrashes.remainingNanoseconds(pending.mRequest.fingerprint());
+            pending.refuse(ErrorKind.QUARANTINED, (int) TimeUnit.NANOSECONDS.toMillis(remaining));
+            return false;
+        }
+        if (!isSuspect(pending.mRequest) || !isSuspectRunning()) {
+            return true;
+        }
+        if (mHeldSuspects.size() >= HELD_SUSPECT_LIMIT) {
+            pending.refuse(ErrorKind.OVERLOADED, 0);
+        } else {
+            mHeldSuspects.add(pending);
+        }
+        return false;
+    }
+
+    /** Submits held requests until a suspect runs again. */
+    private void submitHeld() {
+        int count = mHeldSuspects.size();
+        for (int i = 0; i < count && !mHeldSuspects.isEmpty() && !isSuspectRunning(); i++) {
+            submit(mHeldSuspects.remove());
+        }
+    }
+
+    private void refuseHeld() {
+        List<SlotRequest> held = List.copyOf(mHeldSuspects);
+        mHeldSuspects.clear();
+        held.forEach(pending -> pending.refuse(ErrorKind.LEAVING, 0));
     }
 
     private boolean isTargetLeaving() {
@@ -161,6 +258,7 @@
         if (pending != null) {
             mAdmission.recordOutcome(targetFailed);
             mAdmission.complete(pending);
+            submitHeld();
         }
     }
 
@@ -202,6 +300,9 @@
 
         @Override
         public boolean start() {
+            if (!mayStart(this)) {
+                return false;
+            }
             mDispatched = true;
             mRequest.dispatch();
             return true;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
@@ -12,6 +13,7 @@
 import org.foxtailmoor.core.routing.IdempotencyKey;
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
+import org.foxtailmoor.protocol.generated.CrashCount;
 import org.foxtailmoor.protocol.generated.DocumentVersion;
 import org.foxtailmoor.protocol.generated.Entry;
 import org.foxtailmoor.protocol.generated.Instance;
@@ -27,14 +29,31 @@
 
     private final MockTicker mTicker = Ticker.newMockTicker();
     private final DeadlineAdmission mAdmission = DeadlineAdmission.of(mTicker, 1);
-    private final SlotRequests mRequests = SlotRequests.of(mAdmission, ADDRESS, PORT);
+    private final CrashTable mCrashes = CrashTable.of(mTicker, "here", 1, new NoListener());
+    private final SlotRequests mRequests =
+            SlotRequests.of(mTicker, mAdmission, mCrashes, ADDRESS, PORT);
     private long mVersion;
+    private int mSlots = 2;
+    private int mRequestCount;
+
+    private static final class NoListener implements CrashTable.Listener {
+        @Override
+        public void onStatusChanged(CrashTable.StatusChange change) {}
+
+        @Override
+        public void onCountsChanged(List<CrashCount> counts, boolean crashedHere) {}
+    }
 
     private final class TestRequest implements HomeRequest {
         private final long mDeadline = mTicker.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        private final Fingerprint mFingerprint;
         private boolean mDispatched;
         private ErrorKind mRefusal;
 
+        TestRequest(Fingerprint fingerprint) {
+            mFingerprint = fingerprint;
+        }
+
         @Override
         public Route route() {
             return null;
@@ -47,7 +66,7 @@
 
         @Override
         public Fingerprint fingerprint() {
-            throw new UnsupportedOperationException();
+            return mFingerprint;
         }
 
         @Override
@@ -77,6 +96,11 @@
         publish("i-1", "s", false);
     }
 
+    private void publishSlots(int slots) {
+        mSlots = slots;
+        publish("i-1", "s", false);
+    }
+
     private void publish(String id, String service, boolean leaving) {
         mVersion++;
         DocumentVersion version = DocumentVersion.newBuilder().setNumber(mVersion).build();
@@ -86,7 +110,7 @@
                         .setServiceId(service)
                         .setAddress(ADDRESS)
                         .setNodePort(PORT)
-                        .setSlots(2)
+                        .setSlots(mSlots)
                         .setLeaving(leaving)
                         .build();
         List<Entry> entries =
@@ -102,7 +126,12 @@
     }
 
     private TestRequest accept() {
-        TestRequest request = new TestRequest();
+        mRequestCount++;
+        return accept(new Fingerprint(0, mRequestCount));
+    }
+
+    private TestRequest accept(Fingerprint fingerprint) {
+        TestRequest request = new TestRequest(fingerprint);
         mRequests.accept(request);
         return request;
     }
@@ -182,4 +211,111 @@
             assertThat(queued.mDispatched).isFalse();
         }
     }
+
+    @Nested
+    class Crashes {
+        private final Fingerprint mCrashing = new Fingerprint(1, 0);
+
+        private void crashBesideOthers(TestRequest... requests) {
+            mRequests.crashed(List.of(requests));
+        }
+
+        private StoredAnswer answer() {
+            return new StoredAnswer(200, List.of(), new byte[0]);
+        }
+
+        /** Guards against a request that crashes its target each time it is sent. */
+        @Test
+        void requestThatCrashesItsTargetIsNotRunAgainAndAgain() {
+            int runs = 0;
+            for (int i = 0; i < 10; i++) {
+                TestRequest beside = accept();
+                TestRequest crashing = accept(mCrashing);
+                runs += crashing.mDispatched ? 1 : 0;
+                if (crashing.mDispatched) {
+                    mRequests.crashed(List.of(beside, crashing));
+                } else {
+                    assertThat(crashing.mRefusal).isEqualTo(ErrorKind.QUARANTINED);
+                    mRequests.completed(beside, answer());
+                }
+            }
+            assertThat(runs).as("targets that crashed").isEqualTo(CrashTable.CRASH_LIMIT);
+            assertThat(mRequests.isIdle()).isTrue();
+        }
+
+        /** Guards against refusing a request because it was in flight beside the crashing one. */
+        @Test
+        void commonRequestsInFlightBesideCrashesAreServedAfterwards() {
+            Fingerprint common = new Fingerprint(2, 0);
+            for (int i = 0; i < 3; i++) {
+                TestRequest beside = accept(common);
+                TestRequest crashing = accept(new Fingerprint(3, i));
+                crashBesideOthers(beside, crashing);
+                TestRequest repeated = accept(common);
+                assertThat(repeated.mDispatched).isTrue();
+                mRequests.completed(repeated, answer());
+            }
+            assertThat(mCrashes.status(common)).isEqualTo(CrashGuard.Status.CLEAR);
+        }
+
+        /** Guards against a second crash that cannot be attributed to one suspect. */
+        @Test
+        void suspectsRunOneAtATimeBesideOtherRequests() {
+            TestRequest first = accept();
+            TestRequest second = accept();
+            mRequests.crashed(List.of(first, second));
+            TestRequest suspect = accept(first.mFingerprint);
+            TestRequest held = accept(second.mFingerprint);
+            TestRequest other = accept();
+            assertThat(suspect.mDispatched).isTrue();
+            assertThat(held.mDispatched).isFalse();
+            assertThat(other.mDispatched).isTrue();
+            mRequests.completed(suspect, answer());
+            assertThat(held.mDispatched).isTrue();
+        }
+
+        /** Guards against suspects that wait without a bound or beyond their deadline. */
+        @Test
+        void heldSuspectsAreBoundedAndExpire() {
+            List<TestRequest> requests = new ArrayList<>();
+            publishSlots(8);
+            for (int i = 0; i < 8; i++) {
+                requests.add(accept());
+            }
+            mRequests.crashed(requests);
+            List<TestRequest> repeated = new ArrayList<>();
+            requests.forEach(request -> repeated.add(accept(request.mFingerprint)));
+            assertThat(repeated.stream().filter(request -> request.mDispatched)).hasSize(1);
+            assertThat(repeated.stream().filter(request -> request.mRefusal != null))
+                    .hasSize(7 - SlotRequests.HELD_SUSPECT_LIMIT)
+                    .allMatch(request -> request.mRefusal == ErrorKind.OVERLOADED);
+            mTicker.advance(10, TimeUnit.SECONDS);
+            mRequests.tick();
+            assertThat(repeated.stream().filter(request -> request.mRefusal != null)).hasSize(7);
+            mRequests.failed(repeated.get(0), ErrorKind.DEADLINE_EXCEEDED);
+            assertThat(mRequests.isIdle()).isTrue();
+        }
+
+        /** Guards against dispatching a queued request that became deadly while it waited. */
+        @Test
+        void queuedRequestIsRefusedOnceItIsKnownToCrashTargets() {
+            TestRequest first = accept();
+            TestRequest second = accept();
+            TestRequest queued = accept(mCrashing);
+            assertThat(queued.mDispatched).isFalse();
+            mCrashes.merge(List.of(count("a", 1), count("b", 1)));
+            mRequests.completed(first, answer());
+            assertThat(queued.mRefusal).isEqualTo(ErrorKind.QUARANTINED);
+            assertThat(second.mRefusal).isNull();
+        }
+
+        private CrashCount count(String reporter, int lastCrashAsSuspect) {
+            return CrashCount.newBuilder()
+                    .setFingerprint(mCrashing.toBytes())
+                    .setReporter(reporter)
+                    .setCrashes(1)
+                    .setLastCrashAsSuspect(lastCrashAsSuspect)
+                    .build();
+        }
+    }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
@@ -25,6 +25,7 @@
     private final Counter mHomeRequests;
     private final Counter mHomeReplayed;
     private final Counter mTargetCrashes;
+    private final Counter mCrashes;
     private final Map<ErrorKind, Counter> mEntryErrors = new EnumMap<>(ErrorKind.class);
     private final Map<ErrorKind, Counter> mHomeRefusals = new EnumMap<>(ErrorKind.class);
 
@@ -40,6 +41,7 @@
         mEntryCancelled = registry.counter(PREFIX + "entry.cancelled_requests");
         mHomeRequests = registry.counter(PREFIX + "home.requests");
         mHomeReplayed = registry.counter(PREFIX + "home.replayed_answers");
+        mCrashes = registry.counter(PREFIX + "target.crashes");
         mTargetCrashes = registry.counter(PREFIX + "target.crashed_requests");
     }
 
@@ -88,6 +90,12 @@
         return mHomeReplayed;
     }
 
+    /** Crashes of the target with requests in flight. */
+    Counter crashes() {
+        return mCrashes;
+    }
+
+    /** Requests in flight when the target crashed or broke off its answer. */
     Counter targetCrashes() {
         return mTargetCrashes;
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataPolicies.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataPolicies.java
@@ -6,6 +6,7 @@
 import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.distribution.ViewLease;
 import org.foxtailmoor.core.home.CrashGuard;
+import org.foxtailmoor.core.home.CrashTable;
 import org.foxtailmoor.core.home.HomeDecisions;
 import org.foxtailmoor.core.routing.EpochClock;
 import org.foxtailmoor.core.routing.RequestDecisions;
@@ -22,7 +23,9 @@
      * @param clock wall clock
      * @param random source of randomness
      * @param upstreams load and link state of the upstreams
-     * @param crashGuard crash counts of the node's own service
+     * @param crashGuard crash counts of the node's own service, distributed in adverts
+     * @param crashes crash counts of the node's own service, exchanged over links if {@link
+     *     #exchangesCrashes}
      * @param lease supplies the current view lease, or null
      */
     record Context(
@@ -32,6 +35,7 @@
             RandomGenerator random,
             UpstreamTable upstreams,
             CrashGuard crashGuard,
+            CrashTable crashes,
             Supplier<ViewLease> lease) {}
 
     /** Returns the names of the headers that the node sets and reads. */
@@ -45,6 +49,9 @@
     /** Returns how long the target still gets requests after a shutdown has started. */
     long targetDrainDelayNanoseconds();
 
+    /** Returns whether the nodes of a service exchange crash counts over their links. */
+    boolean exchangesCrashes();
+
     /** Creates the policy for requests at their entry node. */
     RequestDecisions newRequestDecisions(Context context);
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -90,6 +90,7 @@
     private final DataPolicies.Context mContext;
     private final AdmissionPolicy mAdmission;
     private final CrashGuard mCrashGuard;
+    private final CrashReplication mCrashes;
     private final TargetClient mTarget;
     private final HomeGateway mHome;
     private final Links mLinks;
@@ -119,6 +120,7 @@
         mClock = EpochClock.of(ticker, dependencies.timeOfDay().getAsLong());
         mUpstreams = UpstreamTable.of(ticker);
         mCrashGuard = CrashGuard.of(ticker, node.service(), node.id());
+        mCrashes = newCrashReplication();
         mContext = newContext();
         mAdmission = dependencies.policies().newAdmissionPolicy(mContext);
         mTarget =
@@ -128,20 +130,7 @@
                         memory,
                         ticker,
                         headers);
-        mHome =
-                new HomeGateway(
-                        node.service(),
-                        new HomeGateway.Dependencies(
-                                loop,
-                                ticker,
-                                memory,
-                                ByteBufAllocator.DEFAULT,
-                                mTarget,
-                                mAdmission,
-                                dependencies.tracer(),
-                                metrics,
-                                headers,
-                                mLog));
+        mHome = newHome(memory);
         mLinks = new Links(loop, node.id(), dependencies.incarnation(), memory, ticker, mUpstreams);
         mEventLoopLag = new EventLoopLag(ticker);
         mEntry =
@@ -163,10 +152,42 @@
                                 mLog));
         mCallers = new CallerServer(mEntry, memory);
         mLinkServer = newLinkServer(memory);
+        if (dependencies.policies().exchangesCrashes()) {
+            mLinks.setCrashExchange(mCrashes::receive);
+            mLinkServer.setCrashExchange(mCrashes::receive);
+        }
         mDrain = newDrain();
         registerGauges(metrics, memory);
     }
 
+    private CrashReplication newCrashReplication() {
+        return new CrashReplication(
+                mDependencies.settings().node(),
+                mDependencies.incarnation(),
+                mDependencies.ticker(),
+                new SplittableRandom(),
+                mLog,
+                this::isLocal,
+                (member, message) -> mLinks.sendMessage(member, Frames.crashExchange(message)));
+    }
+
+    private HomeGateway newHome(BodyMemory memory) {
+        return new HomeGateway(
+                mDependencies.settings().node().service(),
+                new HomeGateway.Dependencies(
+                        mDependencies.loop(),
+                        mDependencies.ticker(),
+                        memory,
+                        ByteBufAllocator.DEFAULT,
+                        mTarget,
+                        mAdmission,
+                        mDependencies.tracer(),
+                        mMetrics,
+                        mDependencies.policies().headers(),
+                        mLog,
+                        mCrashes.table()));
+    }
+
     private LinkServer newLinkServer(BodyMemory memory) {
         NodeSettings.NodeSection node = mDependencies.settings().node();
         return new LinkServer(
@@ -198,6 +219,7 @@
                 new SplittableRandom(),
                 mUpstreams,
                 mCrashGuard,
+                mCrashes.table(),
                 mDependencies.lease());
     }
 
@@ -345,6 +367,9 @@
         mSnapshot = snapshot;
         mUpstreams.update(snapshot);
         mHome.update(snapshot);
+        if (mDependencies.policies().exchangesCrashes()) {
+            mCrashes.update(snapshot);
+        }
     }
 
     private void tick() {
@@ -363,6 +388,7 @@
     private void runPeriodicTasks() {
         long now = mDependencies.ticker().nanoTime();
         mHome.tick();
+        mCrashes.tick();
         mDrain.tick();
         if (now - mLastSlowTickNanoseconds >= SLOW_TICK_NANOSECONDS) {
             mLastSlowTickNanoseconds = now;
@@ -401,6 +427,8 @@
         metrics.registerGauge("links.incoming_links", mLinkServer::openLinks);
         metrics.registerGauge("bodies.arriving", () -> mLinkServer.transfers().size());
         metrics.registerGauge("target.connections", mTarget::openConnections);
+        metrics.registerGauge("home.suspect_fingerprints", mCrashes::suspects);
+        metrics.registerGauge("home.poisoned_fingerprints", mCrashes::poisoned);
         metrics.registerGauge("home.running_requests", () -> mAdmission.load().getRunning());
         metrics.registerGauge("home.queued_requests", () -> mAdmission.load().getQueued());
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DecisionLog.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.base.TokenBucket;
+import org.foxtailmoor.core.home.CrashTable;
+import org.foxtailmoor.core.home.Fingerprint;
 import org.foxtailmoor.core.routing.CallerAttempt;
 import org.foxtailmoor.core.routing.EntryRequest;
 import org.foxtailmoor.core.routing.Upstream;
@@ -142,6 +144,38 @@
         }
     }
 
+    /**
+     * Logs a request that was in flight when the target crashed.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param inFlight number of requests that were in flight
+     */
+    void crashed(RequestStart start, HeaderNames names, Fingerprint fingerprint, int inFlight) {
+        if (tryAcquire(mFailureTokens)) {
+            String id = HeaderFields.find(start.getHeadersList(), names.requestId());
+            LOGGER.atWarn()
+                    .addKeyValue("request", id == null ? "" : id)
+                    .addKeyValue("route", start.getRouteId())
+                    .addKeyValue("instance", start.getInstanceId())
+                    .addKeyValue("fingerprint", fingerprint.toHex())
+                    .addKeyValue("inFlight", inFlight)
+                    .log("in flight at a crash of the target");
+        }
+    }
+
+    /** Logs a change of what is known about requests with one fingerprint. */
+    void crashStatusChanged(CrashTable.StatusChange change) {
+        if (tryAcquire(mFailureTokens)) {
+            LOGGER.atWarn()
+                    .addKeyValue("fingerprint", change.fingerprint().toHex())
+                    .addKeyValue("before", change.before())
+                    .addKeyValue("status", change.after())
+                    .addKeyValue("crashes", change.crashes())
+                    .addKeyValue("reporters", String.join(" ", change.reporters()))
+                    .log("crash status changed");
+        }
+    }
+
     /** Returns the time since the caller's first attempt, from which lateness is measured. */
     private long millisecondsSinceFirstAttempt(EntryRequest request) {
         CallerAttempt attempt = request.callerAttempt();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -1,6 +1,7 @@
 package org.foxtailmoor.node.data;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.routing.AttemptFailure;
@@ -11,6 +12,7 @@
 import org.foxtailmoor.core.routing.SnapshotReference;
 import org.foxtailmoor.core.routing.Upstream;
 import org.foxtailmoor.node.trace.Hop;
+import org.foxtailmoor.protocol.generated.CrashCount;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
 /**
@@ -40,6 +42,7 @@
     private ScheduledFuture<?> mDeadlineTimer;
     private ScheduledFuture<?> mBackoffTimer;
     private Outcome.Failure mLastFailure;
+    private List<CrashCount> mCrashCounts = List.of();
     private Outcome.Answer mFallbackAnswer;
     private boolean mEnded;
 
@@ -163,6 +166,7 @@
                 .setInstanceId(upstream.id())
                 .setPriority(mRequest.route().entry().getPriority())
                 .setLatencyObjectiveMilliseconds((int) TimeUnit.NANOSECONDS.toMillis(objective))
+                .addAllCrashCounts(mCrashCounts)
                 .build();
     }
 
@@ -290,6 +294,9 @@
                 onAnswer(mUpstream, answer);
             } else if (outcome instanceof Outcome.Failure failure) {
                 mLastFailure = failure;
+                if (!failure.crashCounts().isEmpty()) {
+                    mCrashCounts = failure.crashCounts();
+                }
                 onFailure(
                         mUpstream,
                         AttemptFailure.refused(failure.kind(), failure.retryAfterMilliseconds()));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/ErrorMessages.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/ErrorMessages.java
@@ -16,6 +16,7 @@
             case NO_ROUTE -> "no route matches the method and path";
             case BODY_TOO_LARGE -> "the body exceeds the limit of the route";
             case POISONED -> "the same request crashed its target repeatedly and is refused";
+            case QUARANTINED -> "the same request crashed several targets and is refused";
             case RATE_LIMITED -> "the limit of the route is used up";
             case NOT_READY -> "the node has not finished its start";
             case OVERLOADED -> "the slots, queues or body memory are full";
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Frames.java
@@ -11,6 +11,7 @@
 import org.foxtailmoor.protocol.generated.BodyChunk;
 import org.foxtailmoor.protocol.generated.BodyGrant;
 import org.foxtailmoor.protocol.generated.Cancel;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.GoingAway;
 import org.foxtailmoor.protocol.generated.LinkHello;
 import org.foxtailmoor.protocol.generated.Load;
@@ -80,6 +81,10 @@
         return RequestMessage.newBuilder().setGoingAway(GoingAway.getDefaultInstance()).build();
     }
 
+    static RequestMessage crashExchange(CrashExchange exchange) {
+        return RequestMessage.newBuilder().setCrashExchange(exchange).build();
+    }
+
     static RequestMessage bodyGrant(long stream, int bytes) {
         return RequestMessage.newBuilder()
                 .setStream(stream)
@@ -117,6 +122,7 @@
                         .setMessage(failure.message())
                         .setRetryAfterMilliseconds(failure.retryAfterMilliseconds())
                         .setLoad(load)
+                        .addAllCrashCounts(failure.crashCounts())
                         .build();
         return RequestMessage.newBuilder().setStream(stream).setRefusal(refusal).build();
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -9,12 +9,15 @@
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.AdmissionPolicy;
 import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.core.home.CrashTable;
+import org.foxtailmoor.core.home.Fingerprint;
 import org.foxtailmoor.core.home.HomeDecisions;
 import org.foxtailmoor.core.routing.IdempotencyKey;
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.node.trace.Hop;
 import org.foxtailmoor.node.trace.HopTracer;
+import org.foxtailmoor.protocol.generated.CrashCount;
 import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
@@ -38,7 +41,8 @@
             HopTracer tracer,
             DataMetrics metrics,
             HeaderNames headers,
-            DecisionLog log) {}
+            DecisionLog log,
+            CrashTable crashes) {}
 
     private final String mServiceId;
     private final Dependencies mDependencies;
@@ -64,6 +68,7 @@
             listener.onOutcome(Outcome.Failure.of(refusal, ErrorMessages.of(refusal)));
             return Cancellable.NONE;
         }
+        mDependencies.crashes().merge(start.getCrashCountsList());
         Route route = mSnapshot.routeById(start.getRouteId());
         IdempotencyKey key = IdempotencyKey.parse(start.getIdempotencyKey());
         String traceparent = HeaderFields.find(start.getHeadersList(), HeaderFields.TRACEPARENT);
@@ -147,6 +152,11 @@
         mDependencies.log().homeFailed(start, mDependencies.headers(), load(), kind, cause);
     }
 
+    /** Returns the known crash counts of a fingerprint. */
+    List<CrashCount> crashCounts(Fingerprint fingerprint) {
+        return mDependencies.crashes().counts(fingerprint);
+    }
+
     Ticker ticker() {
         return mDependencies.ticker();
     }
@@ -166,6 +176,21 @@
     private void reportCrashes() {
         List<HomeTask> crashed = List.copyOf(mCrashedTasks);
         mCrashedTasks.clear();
+        // A crash ends all connections; a target that keeps others has only broken off one answer.
+        if (crashed.size() == 1 && mDependencies.target().openConnections() > 0) {
+            mDecisions.failed(crashed.get(0), ErrorKind.UPSTREAM_FAILED);
+            return;
+        }
+        mDependencies.metrics().crashes().inc();
+        for (HomeTask task : crashed) {
+            mDependencies
+                    .log()
+                    .crashed(
+                            task.start(),
+                            mDependencies.headers(),
+                            task.fingerprint(),
+                            crashed.size());
+        }
         mDecisions.crashed(crashed);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -153,6 +153,11 @@
         }
     }
 
+    /** Returns the request as received. */
+    RequestStart start() {
+        return mCall.start();
+    }
+
     /**
      * Cancels the request for its caller. A request with an idempotency key that has reached the
      * target continues, so that a retry finds its outcome.
@@ -177,7 +182,11 @@
     private Outcome.Failure newFailure(ErrorKind kind, int retryAfterMilliseconds) {
         boolean explained = mLastFailure != null && mLastFailure.kind() == kind;
         String message = explained ? mLastFailure.message() : ErrorMessages.of(kind);
-        return new Outcome.Failure(kind, message, retryAfterMilliseconds);
+        if (kind == ErrorKind.QUARANTINED) {
+            message += ", fingerprint " + mFingerprint.toHex();
+        }
+        return new Outcome.Failure(
+                kind, message, retryAfterMilliseconds, mHome.crashCounts(mFingerprint));
     }
 
     private void end(Outcome outcome) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/KeyedPolicies.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/KeyedPolicies.java
@@ -33,6 +33,12 @@
         return 0;
     }
 
+    /** Crash counts are distributed in adverts. */
+    @Override
+    public boolean exchangesCrashes() {
+        return false;
+    }
+
     @Override
     public RequestDecisions newRequestDecisions(Context context) {
         return EntryDecisions.of(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -13,6 +13,7 @@
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.routing.Balancer;
 import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.Pong;
 import org.foxtailmoor.protocol.generated.Refusal;
@@ -57,6 +58,9 @@
         /** Called when the peer reports that its upstream is leaving. */
         void onGoingAway(Link link);
 
+        /** Called with crash counts that the peer sent. */
+        void onCrashExchange(Link link, CrashExchange message);
+
         /**
          * Called once, after every open stream has got its outcome.
          *
@@ -244,6 +248,11 @@
         mChannel.writeAndFlush(Frames.ping(++mPingSequence));
     }
 
+    /** Sends a message that belongs to no request. */
+    void sendMessage(RequestMessage message) {
+        mChannel.writeAndFlush(message);
+    }
+
     /** Closes the connection; open streams fail. */
     void close() {
         mChannel.close();
@@ -264,6 +273,7 @@
             case REFUSAL -> onRefusal(message.getStream(), message.getRefusal());
             case PONG -> onPong(message.getPong());
             case GOING_AWAY -> mListener.onGoingAway(this);
+            case CRASH_EXCHANGE -> mListener.onCrashExchange(this, message.getCrashExchange());
             default -> {
                 // A hello only shows that the peer is alive; kinds added later are ignored.
             }
@@ -369,7 +379,8 @@
                 new Outcome.Failure(
                         ErrorKind.of(refusal.getKind()),
                         refusal.getMessage(),
-                        refusal.getRetryAfterMilliseconds()));
+                        refusal.getRetryAfterMilliseconds(),
+                        refusal.getCrashCountsList()));
     }
 
     private void fail(long number, ErrorKind kind, String message) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -9,8 +9,10 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.admission.BodyTransfers;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.Load;
 
 /** Accepts links from other nodes on the node port. */
@@ -24,6 +26,7 @@
     private final Ticker mTicker;
     private final BodyTransfers mTransfers;
     private final Set<LinkServerHandler> mLinks = new LinkedHashSet<>();
+    private UnaryOperator<CrashExchange> mCrashExchange = message -> null;
     private final ListeningPort mPort = new ListeningPort(this::accept);
 
     LinkServer(
@@ -70,6 +73,18 @@
                         .build();
     }
 
+    /**
+     * Sets the function that handles crash counts from other nodes and returns the reply or null.
+     */
+    void setCrashExchange(UnaryOperator<CrashExchange> crashExchange) {
+        mCrashExchange = crashExchange;
+    }
+
+    /** Handles crash counts from another node, and returns the reply or null. */
+    CrashExchange onCrashExchange(CrashExchange message) {
+        return mCrashExchange.apply(message);
+    }
+
     int openLinks() {
         return mLinks.size();
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -12,6 +12,7 @@
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.admission.BodyTransfers;
 import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
@@ -133,6 +134,7 @@
                                     mServer.instanceId(),
                                     mServer.incarnation(),
                                     mServer.transfers().isLimited()));
+            case CRASH_EXCHANGE -> onCrashExchange(message.getCrashExchange());
             default -> {
                 // A pong only shows that the peer is alive; the other kinds are sent by home nodes.
             }
@@ -160,6 +162,13 @@
         context.close();
     }
 
+    private void onCrashExchange(CrashExchange message) {
+        CrashExchange reply = mServer.onCrashExchange(message);
+        if (reply != null) {
+            mChannel.writeAndFlush(Frames.crashExchange(reply));
+        }
+    }
+
     private void onRequestStart(long number, RequestStart start) {
         if (number == Frames.LINK_STREAM || mStreams.containsKey(number)) {
             mChannel.close();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Links.java
@@ -6,9 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.core.routing.Upstream;
 import org.foxtailmoor.core.routing.UpstreamTable;
+import org.foxtailmoor.protocol.generated.CrashExchange;
+import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
 /** Manages the links from this node to other nodes and opens them on demand. */
@@ -21,6 +24,7 @@
     private final UpstreamTable mUpstreams;
     private final Map<String, Peer> mPeers = new HashMap<>();
     private final List<Peer> mRetiredPeers = new ArrayList<>();
+    private UnaryOperator<CrashExchange> mCrashExchange = message -> null;
     private boolean mClosing;
 
     Links(
@@ -49,6 +53,29 @@
      */
     Cancellable send(
             Upstream upstream, RequestStart start, BufferedBody body, AttemptListener listener) {
+        return peerOf(upstream).send(start, body, listener);
+    }
+
+    /** Sends a message that belongs to no request. It is lost if the upstream is not reachable. */
+    void sendMessage(Upstream upstream, RequestMessage message) {
+        if (!mClosing) {
+            peerOf(upstream).sendMessage(message);
+        }
+    }
+
+    /**
+     * Sets the function that handles crash counts from other nodes and returns the reply or null.
+     */
+    void setCrashExchange(UnaryOperator<CrashExchange> crashExchange) {
+        mCrashExchange = crashExchange;
+    }
+
+    /** Handles crash counts from another node, and returns the reply or null. */
+    CrashExchange onCrashExchange(CrashExchange message) {
+        return mCrashExchange.apply(message);
+    }
+
+    private Peer peerOf(Upstream upstream) {
         Peer peer = mPeers.get(upstream.id());
         if (peer == null || !peer.hasAddressOf(upstream)) {
             if (peer != null) {
@@ -58,7 +85,7 @@
             peer = new Peer(this, upstream);
             mPeers.put(upstream.id(), peer);
         }
-        return peer.send(start, body, listener);
+        return peer;
     }
 
     /**
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Outcome.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Outcome.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.CrashCount;
 import org.foxtailmoor.protocol.generated.Header;
 
 /** Result of a request: a complete answer of the target, or an error. */
@@ -35,12 +36,24 @@
      * @param kind kind of the error
      * @param message human-readable description
      * @param retryAfterMilliseconds delay before a retry, 0 if unknown
+     * @param crashCounts crash counts of the request known to its home, which the next home needs
      */
-    record Failure(ErrorKind kind, String message, int retryAfterMilliseconds) implements Outcome {
+    record Failure(
+            ErrorKind kind,
+            String message,
+            int retryAfterMilliseconds,
+            List<CrashCount> crashCounts)
+            implements Outcome {
         /** Checks that no component is null. */
         public Failure {
             Objects.requireNonNull(kind, "kind");
             Objects.requireNonNull(message, "message");
+            Objects.requireNonNull(crashCounts, "crashCounts");
+        }
+
+        /** Creates a failure of a request without known crashes. */
+        public Failure(ErrorKind kind, String message, int retryAfterMilliseconds) {
+            this(kind, message, retryAfterMilliseconds, List.of());
         }
 
         /** Creates a failure without a retry delay. */
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.core.routing.LinkState;
 import org.foxtailmoor.core.routing.Upstream;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
 /**
@@ -37,7 +39,11 @@
     /** Probing stops after this time; the peer is then connected to only for a request. */
     private static final long MAX_PROBING_NANOSECONDS = TimeUnit.SECONDS.toNanos(20);
 
+    /** A link that was opened for a message is closed after this time without requests. */
+    private static final long MESSAGE_IDLE_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
     private static final int MAX_PENDING_REQUESTS = 1_024;
+    private static final int MAX_PENDING_MESSAGES = 16;
 
     /** A request that waits for the link to be established. */
     private static final class PendingRequest {
@@ -56,6 +62,7 @@
     private final Links mLinks;
     private final Upstream mUpstream;
     private final ArrayDeque<PendingRequest> mPendingRequests = new ArrayDeque<>();
+    private final ArrayDeque<RequestMessage> mPendingMessages = new ArrayDeque<>();
     private final Set<Link> mOpenLinks = new LinkedHashSet<>();
     private Link mCurrentLink;
     private Link mReplacementLink;
@@ -109,6 +116,25 @@
         return () -> pending.mCancellation.cancel();
     }
 
+    /** Sends a message that belongs to no request, after opening a link if none is open. */
+    void sendMessage(RequestMessage message) {
+        Link link = selectLink();
+        if (link != null) {
+            link.sendMessage(message);
+            return;
+        }
+        if (mPendingMessages.size() < MAX_PENDING_MESSAGES) {
+            mPendingMessages.addLast(message);
+        }
+        if (!mConnecting) {
+            mLastUsedNanoseconds =
+                    mLinks.ticker().nanoTime()
+                            - IDLE_TIMEOUT_NANOSECONDS
+                            + MESSAGE_IDLE_TIMEOUT_NANOSECONDS;
+            connect();
+        }
+    }
+
     /** Runs the periodic tasks of the peer's links. */
     void tick() {
         new ArrayList<>(mOpenLinks).forEach(Link::tick);
@@ -155,6 +181,14 @@
         mLinks.upstreams().markLeaving(mUpstream.id());
     }
 
+    @Override
+    public void onCrashExchange(Link link, CrashExchange message) {
+        CrashExchange reply = mLinks.onCrashExchange(message);
+        if (reply != null) {
+            link.sendMessage(Frames.crashExchange(reply));
+        }
+    }
+
     @Override
     public void onClosed(Link link, boolean failed) {
         mOpenLinks.remove(link);
@@ -302,11 +336,14 @@
             pending.mCancellation =
                     link.openStream(pending.mStart, pending.mBody, pending.mListener);
         }
+        mPendingMessages.forEach(link::sendMessage);
+        mPendingMessages.clear();
     }
 
     private void failPending() {
         ArrayList<PendingRequest> failed = new ArrayList<>(mPendingRequests);
         mPendingRequests.clear();
+        mPendingMessages.clear();
         for (PendingRequest pending : failed) {
             pending.mBody.release();
             pending.mCancellation = Cancellable.NONE;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/PlacementPolicies.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/PlacementPolicies.java
@@ -65,6 +65,11 @@
         return TARGET_DRAIN_DELAY_NANOSECONDS;
     }
 
+    @Override
+    public boolean exchangesCrashes() {
+        return true;
+    }
+
     @Override
     public RequestDecisions newRequestDecisions(Context context) {
         return PlacementDecisions.of(
@@ -87,6 +92,10 @@
     @Override
     public HomeDecisions newHomeDecisions(Context context, AdmissionPolicy admission) {
         return SlotRequests.of(
-                (DeadlineAdmission) admission, context.node().address(), context.node().nodePort());
+                context.ticker(),
+                (DeadlineAdmission) admission,
+                context.crashes(),
+                context.node().address(),
+                context.node().nodePort());
     }
 }
--- /dev/null
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
@@ -0,0 +1,145 @@
+package org.foxtailmoor.node.data;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests a request that crashes each target that runs it, without idempotency keys. */
+class CrashingRequestTest {
+    private static final int HOMES = 5;
+    private static final String CRASHING = "/racks/crashing";
+
+    /** Time in which all nodes have to know a request that crashed three targets. */
+    private static final long STABILITY_MILLISECONDS = 4_000;
+
+    private TestFleet mFleet = newFleet();
+    private final List<FakeTarget> mTargets = new ArrayList<>();
+    private TestFleet.Node mEntry;
+
+    @BeforeEach
+    void start() throws Exception {
+        mEntry = mFleet.add("entry", TestFleet.ORDERS, newTarget().address());
+        for (int i = 0; i < HOMES; i++) {
+            addHome("lookup-" + i);
+        }
+        mFleet.publish();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        for (FakeTarget target : mTargets) {
+            target.close();
+        }
+    }
+
+    private static TestFleet newFleet() {
+        return new TestFleet(
+                new PlacementPolicies(HeaderNames.DEFAULT, () -> TestFleet.ORDERS, 1, 100));
+    }
+
+    private FakeTarget newTarget() throws Exception {
+        FakeTarget target = new FakeTarget().echoPaths().crashOn(CRASHING);
+        mTargets.add(target);
+        return target;
+    }
+
+    private TestFleet.Node addHome(String id) throws Exception {
+        return mFleet.add(id, TestFleet.LOOKUPS, newTarget().address());
+    }
+
+    private int crashes() {
+        return mTargets.stream().mapToInt(FakeTarget::crashes).sum();
+    }
+
+    private void sendCrashingUntilRefused() throws Exception {
+        for (int i = 0; i < 40; i++) {
+            mFleet.get(mEntry, CRASHING).get();
+        }
+    }
+
+    private static Object poisoned(TestFleet.Node node) {
+        return node.metrics().getGauges().get("foxtailmoor.home.poisoned_fingerprints").getValue();
+    }
+
+    /** Guards against a request that crashes one target after the other. */
+    @Test
+    void requestThatCrashesTargetsIsRefusedByAllHomes() throws Exception {
+        sendCrashingUntilRefused();
+        assertThat(crashes()).isBetween(2, 3);
+        HttpResponse<String> refused = mFleet.get(mEntry, CRASHING).get();
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.headers().firstValue("foxtailmoor-error")).contains("QUARANTINED");
+        assertThat(refused.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+        assertThat(mFleet.get(mEntry, "/racks/other").get().statusCode()).isEqualTo(200);
+    }
+
+    /** Guards against refusing requests that were in flight beside the crashing one. */
+    @Test
+    void requestsInFlightBesideACrashAreServedAfterwards() throws Exception {
+        for (int round = 0; round < 5; round++) {
+            List<CompletableFuture<HttpResponse<String>>> beside = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                beside.add(mFleet.get(mEntry, "/racks/" + i));
+            }
+            CompletableFuture<HttpResponse<String>> crashing = mFleet.get(mEntry, CRASHING);
+            for (CompletableFuture<HttpResponse<String>> answer : beside) {
+                answer.get();
+            }
+            crashing.get();
+        }
+        for (int i = 0; i < 10; i++) {
+            assertThat(mFleet.get(mEntry, "/racks/" + i).get().statusCode()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against a node that starts and runs the request again. */
+    @Test
+    void nodeThatStartsLaterLearnsTheRequest() throws Exception {
+        sendCrashingUntilRefused();
+        TestFleet.Node late = addHome("lookup-late");
+        mFleet.publish();
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STABILITY_MILLISECONDS);
+        while (!poisoned(late).equals(1L) && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(poisoned(late)).isEqualTo(1L);
+    }
+
+    /** Guards against suspecting a request whose answer was broken off by a live target. */
+    @Test
+    void brokenAnswerOfALiveTargetIsNoCrash() throws Exception {
+        FakeTarget target = new FakeTarget();
+        mTargets.add(target);
+        mFleet.close();
+        mFleet = newFleet();
+        TestFleet.Node home = mFleet.add("order-1", TestFleet.ORDERS, target.address());
+        mFleet.publish();
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            answers.add(mFleet.post(home, "/orders/" + i, ""));
+        }
+        FakeTarget.Received broken = target.take();
+        target.take();
+        target.take();
+        broken.closeConnection();
+        CompletableFuture.anyOf(answers.toArray(CompletableFuture[]::new)).get();
+        assertThat(crashesCountedBy(home)).isZero();
+        target.crash();
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            assertThat(answer.get().statusCode()).isEqualTo(502);
+        }
+        assertThat(crashesCountedBy(home)).isOne();
+    }
+
+    private static long crashesCountedBy(TestFleet.Node home) {
+        return home.metrics().counter("foxtailmoor.target.crashes").getCount();
+    }
+}
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -9,10 +9,13 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** HTTP/1.1 target on a real socket; the test answers each request individually. */
 final class FakeTarget implements AutoCloseable {
@@ -88,7 +91,10 @@
     private final ServerSocket mServer;
     private final BlockingQueue<Received> mReceived = new LinkedBlockingQueue<>();
     private final CompletableFuture<Void> mConnectionClosed = new CompletableFuture<>();
+    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger mCrashes = new AtomicInteger();
     private volatile boolean mEchoPaths;
+    private volatile String mCrashPath;
 
     FakeTarget() throws IOException {
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -101,6 +107,29 @@
         return this;
     }
 
+    /** Makes the target crash at each request with a path; it is back immediately. */
+    FakeTarget crashOn(String path) {
+        mCrashPath = path;
+        return this;
+    }
+
+    /** Returns the number of crashes. */
+    int crashes() {
+        return mCrashes.get();
+    }
+
+    /** Closes all connections, like a process that ends. */
+    void crash() {
+        mCrashes.incrementAndGet();
+        for (Socket socket : mSockets) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) mServer.getLocalSocketAddress();
     }
@@ -132,6 +161,7 @@
             while (true) {
                 Socket socket = mServer.accept();
                 socket.setTcpNoDelay(true);
+                mSockets.add(socket);
                 startThread(() -> serve(socket));
             }
         } catch (IOException e) {
@@ -145,7 +175,9 @@
             InputStream input = socket.getInputStream();
             Received received = read(input, socket);
             while (received != null) {
-                if (mEchoPaths) {
+                if (received.path().equals(mCrashPath)) {
+                    crash();
+                } else if (mEchoPaths) {
                     received.answer(200, received.path());
                 } else {
                     mReceived.add(received);
@@ -155,6 +187,7 @@
         } catch (IOException e) {
             // Treated like an orderly close.
         }
+        mSockets.remove(socket);
         mConnectionClosed.complete(null);
     }
 
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkTest.java
@@ -13,6 +13,7 @@
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.BodyMemory;
 import org.foxtailmoor.protocol.generated.BodyChunk;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.Load;
 import org.foxtailmoor.protocol.generated.Refusal;
 import org.foxtailmoor.protocol.generated.RequestMessage;
@@ -73,6 +74,9 @@
                     @Override
                     public void onGoingAway(Link link) {}
 
+                    @Override
+                    public void onCrashExchange(Link link, CrashExchange message) {}
+
                     @Override
                     public void onClosed(Link link, boolean failed) {
                         mClosedAsFailed = failed;
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -87,9 +87,20 @@
     private final List<Node> mNodes = new ArrayList<>();
     private final OffsetTicker mTicker = new OffsetTicker();
     private final List<Instance> mExternalInstances = new ArrayList<>();
+    private final DataPolicies mPolicies;
     private int mRevision;
     private int mKeyCount;
 
+    /** Creates an empty fleet with the policies for idempotency keys. */
+    TestFleet() {
+        this(new KeyedPolicies());
+    }
+
+    /** Creates an empty fleet whose nodes use the given policies. */
+    TestFleet(DataPolicies policies) {
+        mPolicies = policies;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
@@ -121,7 +132,7 @@
                                 snapshots.reference(),
                                 this::lease,
                                 report -> {},
-                                new KeyedPolicies()));
+                                mPolicies));
         data.start();
         Node node = new Node(id, service, data, metrics, snapshots);
         mNodes.add(node);
