--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -94,6 +94,7 @@
     private final DataPolicies.Context mContext;
     private final AdmissionPolicy mAdmission;
     private final CrashGuard mCrashGuard;
+    private final CrashReplication mCrashes;
     private final TargetClient mTarget;
     private final HomeGateway mHome;
     private final Links mLinks;
@@ -124,6 +125,7 @@
         mShutdownWindow = new ShutdownWindow(ticker);
         mUpstreams = UpstreamTable.of(ticker);
         mCrashGuard = CrashGuard.of(ticker, node.service(), node.id());
+        mCrashes = newCrashReplication();
         mContext = newContext();
         mAdmission = dependencies.policies().newAdmissionPolicy(mContext);
         mTarget =
@@ -156,10 +158,25 @@
                                 mLog));
         mCallers = new CallerServer(mEntry, memory);
         mLinkServer = newLinkServer(memory);
+        if (dependencies.policies().exchangesCrashes()) {
+            mLinks.setCrashExchange(mCrashes::receive);
+            mLinkServer.setCrashExchange(mCrashes::receive);
+        }
         mDrain = newDrain();
         registerGauges(metrics, memory);
     }
 
+    private CrashReplication newCrashReplication() {
+        return new CrashReplication(
+                mDependencies.settings().node(),
+                mDependencies.incarnation(),
+                mDependencies.ticker(),
+                new SplittableRandom(),
+                mLog,
+                this::isLocal,
+                (member, message) -> mLinks.sendMessage(member, Frames.crashExchange(message)));
+    }
+
     private HomeGateway newHome(BodyMemory memory) {
         return new HomeGateway(
                 mDependencies.settings().node().service(),
@@ -174,7 +191,8 @@
                         mDependencies.tracer(),
                         mMetrics,
                         mDependencies.policies().headers(),
-                        mLog));
+                        mLog,
+                        mCrashes.table()));
     }
 
     private LinkServer newLinkServer(BodyMemory memory) {
@@ -209,6 +227,7 @@
                 new SplittableRandom(),
                 mUpstreams,
                 mCrashGuard,
+                mCrashes.table(),
                 mDependencies.lease());
     }
 
@@ -371,6 +390,9 @@
         mSnapshot = snapshot;
         mUpstreams.update(snapshot);
         mHome.update(snapshot);
+        if (mDependencies.policies().exchangesCrashes()) {
+            mCrashes.update(snapshot);
+        }
     }
 
     private void tick() {
@@ -390,6 +412,7 @@
     private void runPeriodicTasks() {
         long now = mDependencies.ticker().nanoTime();
         mHome.tick();
+        mCrashes.tick();
         mDrain.tick();
         if (now - mLastSlowTickNanoseconds >= SLOW_TICK_NANOSECONDS) {
             mLastSlowTickNanoseconds = now;
@@ -428,6 +451,8 @@
         metrics.registerGauge("links.incoming_links", mLinkServer::openLinks);
         metrics.registerGauge("bodies.arriving", () -> mLinkServer.transfers().size());
         metrics.registerGauge("target.connections", mTarget::openConnections);
+        metrics.registerGauge("home.suspect_fingerprints", mCrashes::suspects);
+        metrics.registerGauge("home.poisoned_fingerprints", mCrashes::poisoned);
         metrics.registerGauge("home.running_requests", () -> mAdmission.load().getRunning());
         metrics.registerGauge("home.queued_requests", () -> mAdmission.load().getQueued());
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Peer.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.core.routing.LinkState;
 import org.foxtailmoor.core.routing.Upstream;
+import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.Load;
+import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
 
 /**
@@ -34,7 +36,11 @@
     /** Interval at which a failed peer is probed with connection attempts, without a request. */
     static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
 
+    /** A link that was opened for a message is closed after this time without requests. */
+    private static final long MESSAGE_IDLE_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
     private static final int MAX_PENDING_REQUESTS = 1_024;
+    private static final int MAX_PENDING_MESSAGES = 16;
 
     /** A request that waits for the link to be established. */
     private final class PendingRequest implements Cancellable {
@@ -67,6 +73,7 @@
     private final Links mLinks;
     private final Upstream mUpstream;
     private final ArrayDeque<PendingRequest> mPendingRequests = new ArrayDeque<>();
+    private final ArrayDeque<RequestMessage> mPendingMessages = new ArrayDeque<>();
     private final Set<Link> mOpenLinks = new LinkedHashSet<>();
     private Link mCurrentLink;
     private Link mReplacementLink;
@@ -118,6 +125,25 @@
         return pending;
     }
 
+    /** Sends a message that belongs to no request, after opening a link if none is open. */
+    void sendMessage(RequestMessage message) {
+        Link link = selectLink();
+        if (link != null) {
+            link.sendMessage(message);
+            return;
+        }
+        if (mPendingMessages.size() < MAX_PENDING_MESSAGES) {
+            mPendingMessages.addLast(message);
+        }
+        if (!mConnecting) {
+            mLastUsedNanoseconds =
+                    mLinks.ticker().nanoTime()
+                            - IDLE_TIMEOUT_NANOSECONDS
+                            + MESSAGE_IDLE_TIMEOUT_NANOSECONDS;
+            connect();
+        }
+    }
+
     /** Runs the periodic tasks of the peer's links. */
     void tick() {
         new ArrayList<>(mOpenLinks).forEach(Link::tick);
@@ -164,6 +190,14 @@
         mLinks.upstreams().markLeaving(mUpstream.id());
     }
 
+    @Override
+    public void onCrashExchange(Link link, CrashExchange message) {
+        CrashExchange reply = mLinks.onCrashExchange(message);
+        if (reply != null) {
+            link.sendMessage(Frames.crashExchange(reply));
+        }
+    }
+
     @Override
     public void onClosed(Link link, boolean failed) {
         mOpenLinks.remove(link);
@@ -304,11 +338,14 @@
             PendingRequest pending = mPendingRequests.removeFirst();
             pending.mSent = link.openStream(pending.mStart, pending.mBody, pending.mListener);
         }
+        mPendingMessages.forEach(link::sendMessage);
+        mPendingMessages.clear();
     }
 
     private void failPending() {
         ArrayList<PendingRequest> failed = new ArrayList<>(mPendingRequests);
         mPendingRequests.clear();
+        mPendingMessages.clear();
         for (PendingRequest pending : failed) {
             pending.mBody.release();
             pending.mSent = Cancellable.NONE;
