Pass on which revisions a copy has skipped in a listing

In the product a target that has left, or a route that has moved, would stay at that node.

Cause, confirmed by the test itemThatTheSendersSourceMissedBetweenListingsIsRemovedAtTheReceiver: a copy that lists the store never sees an item that was written and removed since its last read. It knows these revisions, but did not pass them on. A node that read from it passed for one that knew every removal up to its revision, so that its own readers kept such items.

A batch now names the skipped revisions. The receiver removes what it holds from them and the batch has not, and sends the range on. Older nodes ignore the two new fields and send none; with them it is as before.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
@@ -47,8 +47,7 @@
     private final Map<String, Long> mExpiryTimes = new LinkedHashMap<>();
     private final Set<String> mChangedKeys = new HashSet<>();
     private long mForgottenRevision;
-    private long mGapStartRevision;
-    private long mGapEndRevision;
+    private StoreItemBatch.Skipped mSkipped = StoreItemBatch.Skipped.NONE;
     private long mRevision;
     private boolean mComplete;
     private long mRecoveryEndNanoseconds;
@@ -152,7 +151,8 @@
 
     /**
      * Applies a batch of another node. The items of a complete batch that is older than this copy
-     * are ignored, because some of them may have been removed without this copy seeing it.
+     * are ignored, because some of them may have been removed without this copy seeing it. Any
+     * other batch has every item that was written last in the skipped revisions and still exists.
      */
     public void apply(StoreItemBatch batch) {
         extendRecovery(Math.min(batch.recoveryGrace().toNanos(), RECOVERY_GRACE_NANOSECONDS));
@@ -167,6 +167,10 @@
         if (batch.complete()) {
             completeListing(keys, batch.revision());
         } else {
+            removeSkipped(batch.skipped(), keys);
+            if (batch.skipped().before() > mRevision) {
+                skip(batch.skipped());
+            }
             advanceTo(batch.revision());
         }
     }
@@ -187,8 +191,8 @@
      * @param revision revision up to which the receiver is complete, 0 for none
      */
     public StoreItemBatch batchAfter(long revision) {
-        boolean inGap = revision > mGapStartRevision && revision < mGapEndRevision;
-        boolean complete = revision <= 0 || revision < mForgottenRevision || inGap;
+        boolean complete =
+                revision <= 0 || revision < mForgottenRevision || mSkipped.contains(revision);
         List<StoreItem> items = new ArrayList<>();
         for (StoreItem item : mItems.values()) {
             if ((complete || item.revision() > revision) && !mExpiryTimes.containsKey(item.key())) {
@@ -208,7 +212,8 @@
                 items,
                 mRevision,
                 complete,
-                Duration.ofMillis(TimeUnit.NANOSECONDS.toMillis(recovery)));
+                Duration.ofMillis(TimeUnit.NANOSECONDS.toMillis(recovery)),
+                complete || mSkipped.before() <= revision ? StoreItemBatch.Skipped.NONE : mSkipped);
     }
 
     /**
@@ -288,9 +293,24 @@
         if (!mComplete) {
             mForgottenRevision = Math.max(mForgottenRevision, revision);
         } else if (revision > mRevision) {
-            mForgottenRevision = Math.max(mForgottenRevision, mGapEndRevision);
-            mGapStartRevision = mRevision;
-            mGapEndRevision = revision;
+            skip(new StoreItemBatch.Skipped(mRevision, revision));
+        }
+    }
+
+    private void removeSkipped(StoreItemBatch.Skipped skipped, Set<String> existingKeys) {
+        List<String> missing = new ArrayList<>();
+        for (StoreItem item : mItems.values()) {
+            if (skipped.contains(item.revision()) && !existingKeys.contains(item.key())) {
+                missing.add(item.key());
+            }
+        }
+        missing.forEach(key -> remove(key, skipped.before()));
+    }
+
+    private void skip(StoreItemBatch.Skipped skipped) {
+        if (!skipped.equals(mSkipped)) {
+            mForgottenRevision = Math.max(mForgottenRevision, mSkipped.before());
+            mSkipped = skipped;
         }
     }
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
@@ -47,6 +47,8 @@
                 ItemBatch.newBuilder()
                         .setRevision(batch.revision())
                         .setComplete(batch.complete())
+                        .setSkippedAfter(batch.skipped().after())
+                        .setSkippedBefore(batch.skipped().before())
                         .setRecoveryGraceMilliseconds(
                                 (int)
                                         batch.recoveryGrace()
@@ -87,7 +89,8 @@
 
     /**
      * Decodes a batch. A change that is not newer than the held item is skipped; in a complete
-     * batch the held item takes its place, so that the batch still has every item.
+     * batch and in one whose sender has skipped revisions, the held item takes its place, so that
+     * no existing item is missing.
      *
      * @param bytes result of {@link #encode}, not null
      * @param heldItems returns the version of an item that the receiver holds, by key, or null if
@@ -112,7 +115,7 @@
                 StoreItem item = toItem(change, baseItems, remainingBytes);
                 remainingBytes -= item.isRemoved() ? 0 : item.value().size();
                 items.add(item);
-            } else if (message.getComplete()) {
+            } else if (message.getComplete() || message.getSkippedBefore() > 0) {
                 items.add(held);
             }
         }
@@ -120,7 +123,8 @@
                 items,
                 message.getRevision(),
                 message.getComplete(),
-                Duration.ofMillis(message.getRecoveryGraceMilliseconds()));
+                Duration.ofMillis(message.getRecoveryGraceMilliseconds()),
+                new StoreItemBatch.Skipped(message.getSkippedAfter(), message.getSkippedBefore()));
     }
 
     private static ItemChange toChange(StoreItem item, Function<String, StoreItem> baseItems) {
@@ -196,6 +200,10 @@
         if (message.getRecoveryGraceMilliseconds() < 0) {
             throw malformed("recovery grace out of range", null);
         }
+        if (message.getSkippedAfter() < 0
+                || message.getSkippedBefore() < message.getSkippedAfter()) {
+            throw malformed("skipped revisions out of range", null);
+        }
         return message;
     }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
@@ -235,7 +235,8 @@
                         decoded.items().stream().map(mShared).toList(),
                         decoded.revision(),
                         decoded.complete(),
-                        decoded.recoveryGrace());
+                        decoded.recoveryGrace(),
+                        decoded.skipped());
         long age = TimeUnit.MILLISECONDS.toNanos(response.getSourceAgeMilliseconds());
         if (mReplica.isLate(open.mCall)) {
             mReplica.onLateBatch(read, batch, age);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
@@ -129,6 +129,33 @@
             assertThat(mOther.item("a")).isNull();
         }
 
+        /** Guards against an item that stays, as the sender passes on what another one skipped. */
+        @Test
+        void itemThatTheSendersSourceMissedBetweenListingsIsRemovedAtTheReceiver() {
+            StoreCopy source = newCopy();
+            list(source, 5, item("b", 3));
+            read(mCopy, source);
+            list(mOther, 7, item("a", 7), item("b", 3));
+            list(source, 9, item("b", 3));
+            read(mCopy, source);
+            read(mOther, mCopy);
+            advance(2_000);
+            assertThat(mOther.item("a")).isNull();
+        }
+
+        /** Guards against the same when the receiver has read another node in the meantime. */
+        @Test
+        void lateBatchOfASenderThatSkippedTheRevisionOfTheReceiverRemovesTheItem() {
+            list(mCopy, 5, item("b", 3));
+            read(mOther, mCopy);
+            list(mCopy, 9, item("b", 3));
+            StoreItemBatch late = mCopy.batchAfter(mOther.revision());
+            change(mOther, item("a", 7));
+            mOther.apply(late);
+            advance(2_000);
+            assertThat(mOther.item("a")).isNull();
+        }
+
         /** Guards against nodes that remove live items at different times after an outage. */
         @Test
         void recoveryGraceIsPassedOn() {
@@ -225,8 +252,7 @@
             change(mCopy, new StoreItem("a", 7, ByteString.copyFromUtf8(large + 7)));
             ByteString second = encodeAfter(5);
             for (ByteString response : List.of(first, second)) {
-                mOther.apply(
-                        StoreItemBatchCodec.decode(response, mOther::item, mOther::versionOf));
+                mOther.apply(StoreItemBatchCodec.decode(response, mOther::item, mOther::versionOf));
             }
             assertThat(mOther.item("a")).isEqualTo(mCopy.item("a"));
         }
@@ -287,15 +313,28 @@
         System.out.println("StoreCopyTest: -Dfoxtailmoor.seed=" + SEED);
         Random random = new Random(SEED);
         for (int run = 0; run < 300; run++) {
-            exchange(random, run);
+            exchange(random, run, false);
+        }
+    }
+
+    /** Guards against the same if a copy has several reads under way at the same time. */
+    @Test
+    void copiesThatExchangeOverlappingBatchesEndEqual() {
+        System.out.println("StoreCopyTest: -Dfoxtailmoor.seed=" + SEED);
+        Random random = new Random(SEED);
+        for (int run = 0; run < 300; run++) {
+            exchange(random, run, true);
         }
     }
 
-    private void exchange(Random random, int run) {
+    private record Pending(StoreCopy reader, StoreItemBatch batch) {}
+
+    private void exchange(Random random, int run, boolean overlapping) {
         StoreCopy store = newCopy();
         list(store, 1);
         List<StoreCopy> copies = List.of(newCopy(), newCopy(), newCopy(), newCopy());
         List<StoreItemBatch> late = new ArrayList<>();
+        List<Pending> pending = new ArrayList<>();
         for (int step = 0; step < 60; step++) {
             String key = "key" + random.nextInt(6);
             long revision = store.revision() + 1;
@@ -307,7 +346,10 @@
                 case 1 -> read(reader, store);
                 default -> {
                     StoreCopy peer = copies.get(random.nextInt(copies.size()));
-                    if (peer != reader && peer.isComplete()) {
+                    boolean waits = overlapping && reader.isComplete() && random.nextBoolean();
+                    if (peer != reader && peer.isComplete() && waits) {
+                        pending.add(new Pending(reader, peer.batchAfter(reader.revision())));
+                    } else if (peer != reader && peer.isComplete()) {
                         late.add(read(reader, peer));
                     }
                 }
@@ -318,6 +360,10 @@
                     reader.apply(old);
                 }
             }
+            if (!pending.isEmpty() && random.nextInt(3) == 0) {
+                Pending response = pending.remove(random.nextInt(pending.size()));
+                response.reader().apply(response.batch());
+            }
             if (random.nextInt(8) == 0) {
                 mTicker.advance(2, TimeUnit.SECONDS);
                 copies.forEach(StoreCopy::tick);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreItemBatchCodecTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreItemBatchCodecTest.java
@@ -100,6 +100,18 @@
             assertThat(StoreItemBatchCodec.decode(encodeFull(batch), key -> null)).isEqualTo(batch);
             StoreItemBatch empty = new StoreItemBatch(List.of(), 0, false, Duration.ZERO);
             assertThat(StoreItemBatchCodec.decode(encodeFull(empty), key -> null)).isEqualTo(empty);
+            StoreItemBatch skipping =
+                    new StoreItemBatch(
+                            List.of(mNew),
+                            90,
+                            false,
+                            Duration.ZERO,
+                            new StoreItemBatch.Skipped(3, 70));
+            assertThat(StoreItemBatchCodec.decode(encodeFull(skipping), key -> null))
+                    .isEqualTo(skipping);
+            assertThat(StoreItemBatchCodec.decode(encodeFull(skipping), key -> mNew))
+                    .as("an item that is held already")
+                    .isEqualTo(skipping);
         }
 
         /** Guards against a receiver that ends the recovery before the sender. */
