Attribute crashes of several targets to the request that they have in common

A request that comes often runs on several targets when it crashes the first.

A home whose target crashed now compares its suspects with those of crashes elsewhere: if exactly one is common, its own crash counts as that of an only suspect. A request that becomes poisoned while it runs is aborted at the target.

CrashTableTest.requestInFlightAtCrashesOfTwoTargetsIsPoisonedIfItIsTheOnlyOne and SlotRequestsTest.runningRequestIsAbortedOnceItIsKnownToCrashTargets need methods that the former code does not have.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashExchanger.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashExchanger.java
@@ -128,6 +128,7 @@
             return null;
         }
         mTable.merge(message.getCountsList());
+        mTable.attributeCommonCrashes();
         if (!message.getReplyWanted() || message.getDigest() == mTable.digest()) {
             return null;
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
@@ -226,6 +226,35 @@
         notifyCounts(changed, false);
     }
 
+    /**
+     * Attributes crashes of this node's target to a fingerprint if it is the only one that was also
+     * in flight at a crash elsewhere. Targets that run the same request crash at about the same
+     * time, before the nodes know of each other's crashes.
+     */
+    public void attributeCommonCrashes() {
+        List<Fingerprint> common =
+                mRecords.entrySet().stream()
+                        .filter(entry -> hasCrashedHereAndElsewhere(entry.getValue()))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        if (common.size() != 1) {
+            return;
+        }
+        Fingerprint fingerprint = common.get(0);
+        Counts own = mRecords.get(fingerprint).get(mSelf);
+        if (!own.hasUnclearedCrashAsSuspect()) {
+            Status before = status(fingerprint);
+            own.mLastCrashAsSuspect = own.mCrashes;
+            notifyStatus(fingerprint, before);
+            notifyCounts(counts(fingerprint), true);
+        }
+    }
+
+    private boolean hasCrashedHereAndElsewhere(Map<Reporter, Counts> record) {
+        Counts own = record.get(mSelf);
+        return own != null && own.uncleared() > 0 && reporters(record).size() > 1;
+    }
+
     /** Returns the counts of one fingerprint. */
     public List<CrashCount> counts(Fingerprint fingerprint) {
         List<CrashCount> counts = new ArrayList<>();
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
@@ -49,6 +49,12 @@
      */
     void dispatch();
 
+    /**
+     * Aborts the dispatched request at the target. The node reports nothing more about it; the
+     * caller of this method ends it.
+     */
+    default void abort() {}
+
     /**
      * Answers the request with a stored answer or with that of the request that it joined.
      *
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -188,6 +188,7 @@
     @Override
     public void tick() {
         mAdmission.tick();
+        abortPoisoned();
         long now = mTicker.nanoTime();
         for (SlotRequest held : List.copyOf(mHeldSuspects)) {
             if (held.deadlineNanoseconds() - now <= 0) {
@@ -235,6 +236,16 @@
         return false;
     }
 
+    /** Aborts requests that became poisoned while they run, before they crash the target. */
+    private void abortPoisoned() {
+        for (SlotRequest pending : List.copyOf(mPending.values())) {
+            if (pending.mDispatched && isPoisoned(pending.mRequest)) {
+                pending.mRequest.abort();
+                failed(pending.mRequest, ErrorKind.UPSTREAM_FAILED);
+            }
+        }
+    }
+
     /** Submits held requests until a suspect runs again. */
     private void submitHeld() {
         int count = mHeldSuspects.size();
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashTableTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashTableTest.java
@@ -69,6 +69,33 @@
                                 Set.of("first", "second")));
     }
 
+    /**
+     * Guards against further crashes until two targets that crashed together agree on the cause.
+     */
+    @Test
+    void requestInFlightAtCrashesOfTwoTargetsIsPoisonedIfItIsTheOnlyOne() {
+        mFirst.crashed(List.of(CRASHING, new Fingerprint(3, 1)));
+        mSecond.crashed(List.of(CRASHING, new Fingerprint(3, 2)));
+        exchange();
+        assertThat(mSecond.status(CRASHING)).isEqualTo(Status.SUSPECT);
+        mSecond.attributeCommonCrashes();
+        exchange();
+        assertThat(mThird.status(CRASHING)).isEqualTo(Status.POISONED);
+        assertThat(mThird.status(new Fingerprint(3, 2))).isEqualTo(Status.SUSPECT);
+    }
+
+    /** Guards against attributing crashes to one of several requests that they have in common. */
+    @Test
+    void severalRequestsInFlightAtCrashesOfTwoTargetsAreNotPoisoned() {
+        mFirst.crashed(List.of(CRASHING, COMMON));
+        mSecond.crashed(List.of(CRASHING, COMMON));
+        exchange();
+        mSecond.attributeCommonCrashes();
+        exchange();
+        assertThat(mThird.status(CRASHING)).isEqualTo(Status.SUSPECT);
+        assertThat(mThird.status(COMMON)).isEqualTo(Status.SUSPECT);
+    }
+
     /** Guards against one faulty node that gets requests refused by the others. */
     @Test
     void crashesOfOneNodeDoNotPoisonOnOthers() {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
@@ -49,6 +49,7 @@
         private final Fingerprint mFingerprint;
         private boolean mDispatched;
         private ErrorKind mRefusal;
+        private boolean mAborted;
 
         TestRequest(Fingerprint fingerprint) {
             mFingerprint = fingerprint;
@@ -79,6 +80,11 @@
             mDispatched = true;
         }
 
+        @Override
+        public void abort() {
+            mAborted = true;
+        }
+
         @Override
         public void answer(StoredAnswer answer) {
             throw new UnsupportedOperationException();
@@ -309,6 +315,19 @@
             assertThat(second.mRefusal).isNull();
         }
 
+        /** Guards against a crash by a request that is known to crash targets and still runs. */
+        @Test
+        void runningRequestIsAbortedOnceItIsKnownToCrashTargets() {
+            TestRequest running = accept(mCrashing);
+            TestRequest other = accept();
+            mCrashes.merge(List.of(count("a", 1), count("b", 1)));
+            mRequests.tick();
+            assertThat(running.mAborted).isTrue();
+            assertThat(running.mRefusal).isEqualTo(ErrorKind.UPSTREAM_FAILED);
+            assertThat(other.mAborted).isFalse();
+            assertThat(mAdmission.load().getRunning()).isEqualTo(1);
+        }
+
         private CrashCount count(String reporter, int lastCrashAsSuspect) {
             return CrashCount.newBuilder()
                     .setFingerprint(mCrashing.toBytes())
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -106,6 +106,11 @@
                                 this);
     }
 
+    @Override
+    public void abort() {
+        mTargetCall.cancel();
+    }
+
     @Override
     public void answer(StoredAnswer answer) {
         mHome.metrics().homeReplayed().inc();
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
@@ -6,7 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.protocol.generated.CrashCount;
+import org.foxtailmoor.protocol.generated.Refusal;
+import org.foxtailmoor.protocol.generated.RequestMessage;
+import org.foxtailmoor.protocol.generated.RequestStart;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -100,6 +107,43 @@
         }
     }
 
+    /** Guards against a second home that does not know why the first one failed the request. */
+    @Test
+    void nextAttemptTellsTheHomeOfTheCrash() throws Exception {
+        CrashCount count = CrashCount.newBuilder().setReporter("home-1").setCrashes(1).build();
+        List<RequestStart> received = new CopyOnWriteArrayList<>();
+        BiConsumer<FakeNode.FakeLink, RequestMessage> onFrame =
+                (link, message) -> {
+                    if (message.hasRequestStart()) {
+                        received.add(message.getRequestStart());
+                        link.send(refusalAfterCrash(message.getStream(), count));
+                    }
+                };
+        mFleet.close();
+        mFleet = newFleet();
+        mFleet.setRouteAttempts(2);
+        TestFleet.Node entry = mFleet.add("entry", TestFleet.ORDERS, newTarget().address());
+        try (FakeNode first = new FakeNode(onFrame);
+                FakeNode second = new FakeNode(onFrame)) {
+            mFleet.addExternal("home-1", TestFleet.LOOKUPS, first.port());
+            mFleet.addExternal("home-2", TestFleet.LOOKUPS, second.port());
+            mFleet.publish();
+            mFleet.get(entry, CRASHING).get();
+        }
+        assertThat(received).hasSizeGreaterThan(1);
+        assertThat(received.get(0).getCrashCountsList()).isEmpty();
+        assertThat(received.get(1).getCrashCountsList()).containsExactly(count);
+    }
+
+    private static RequestMessage refusalAfterCrash(long stream, CrashCount count) {
+        Refusal refusal =
+                Refusal.newBuilder()
+                        .setKind(ErrorKind.UPSTREAM_FAILED.name())
+                        .addCrashCounts(count)
+                        .build();
+        return RequestMessage.newBuilder().setStream(stream).setRefusal(refusal).build();
+    }
+
     /** Guards against a node that starts and runs the request again. */
     @Test
     void nodeThatStartsLaterLearnsTheRequest() throws Exception {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -88,6 +88,7 @@
     private final OffsetTicker mTicker = new OffsetTicker();
     private final List<Instance> mExternalInstances = new ArrayList<>();
     private final DataPolicies mPolicies;
+    private int mRouteAttempts;
     private int mRevision;
     private int mKeyCount;
 
@@ -101,6 +102,11 @@
         mPolicies = policies;
     }
 
+    /** Sets the number of upstreams that may run one request; call before {@link #publish}. */
+    void setRouteAttempts(int attempts) {
+        mRouteAttempts = attempts;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
@@ -233,7 +239,7 @@
                 .build();
     }
 
-    private static List<Entry> entries() {
+    private List<Entry> entries() {
         List<Entry> entries = new ArrayList<>();
         entries.add(
                 entry("doo")
@@ -256,7 +262,7 @@
         return entries;
     }
 
-    private static void addService(
+    private void addService(
             List<Entry> entries, String service, String prefix, boolean idempotent) {
         entries.add(
                 entry(service)
@@ -279,7 +285,8 @@
                                         .setIdempotent(idempotent)
                                         .setDeadlineMilliseconds(10_000)
                                         .setBodyLimitBytes(1_000_000)
-                                        .setRetryId("retry"))
+                                        .setRetryId("retry")
+                                        .setAttempts(mRouteAttempts))
                         .build());
     }
 
