Refuse uploads at once when the home leaves

A home that leaves received the rest of each upload and refused it only then, so that its callers waited for the transfer, and its shutdown with them. Uploads whose bodies are incomplete are now refused as not run when the home leaves and when they arrive after that, and go to another node. Requests with an idempotency key are still received, since repeats of known keys are answered. LinkServerHandlerTest.bodyThatArrivesWhenTheHomeLeavesIsRefusedAtOnce failed before (no frame after the notice of the leave).

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -33,6 +33,16 @@
             mBody = body;
         }
 
+        /**
+         * Returns whether a leaving home refuses the request whatever its body. Repeats of known
+         * idempotency keys are still answered.
+         */
+        boolean isRefusedByLeavingHome() {
+            return mBody != null
+                    && mStart.getBodyBytes() > 0
+                    && mStart.getIdempotencyKey().isEmpty();
+        }
+
         boolean isIdempotent() {
             return mStart.getIdempotent();
         }
@@ -97,9 +107,18 @@
         mChannel.close();
     }
 
-    /** Notifies the peer that this upstream is leaving. */
+    /**
+     * Notifies the peer that this upstream is leaving. Requests whose bodies are incomplete are
+     * refused at once, because the home would refuse them after the transfer.
+     */
     void sendGoingAway() {
         mChannel.writeAndFlush(Frames.goingAway());
+        for (long number : List.copyOf(mStreams.keySet())) {
+            Stream stream = mStreams.get(number);
+            if (stream.isRefusedByLeavingHome()) {
+                refuseLeaving(number, stream);
+            }
+        }
     }
 
     /** Returns whether no request is open and every answer has been written to the socket. */
@@ -182,7 +201,9 @@
                                 Integer.toUnsignedLong(start.getDeadlineMilliseconds()));
         Stream stream = new Stream(start, deadline, body);
         mStreams.put(number, stream);
-        if (start.getBodyOnGrant()) {
+        if (mHome.isLeaving() && stream.isRefusedByLeavingHome()) {
+            refuseLeaving(number, stream);
+        } else if (start.getBodyOnGrant()) {
             grantBody(number, stream, bytes);
         }
     }
@@ -258,6 +279,12 @@
         }
     }
 
+    private void refuseLeaving(long number, Stream stream) {
+        mStreams.remove(number);
+        stream.cancel();
+        refuse(number, ErrorKind.LEAVING, ErrorMessages.of(ErrorKind.LEAVING));
+    }
+
     private void refuse(long number, ErrorKind kind, String message) {
         refuse(number, Outcome.Failure.of(kind, message));
     }
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
@@ -37,6 +37,7 @@
         private final List<HomeCall> mCalls = new ArrayList<>();
         private final List<OutcomeListener> mListeners = new ArrayList<>();
         private int mCancelled;
+        private boolean mLeaving;
 
         @Override
         public Cancellable submit(HomeCall call, OutcomeListener listener) {
@@ -53,7 +54,7 @@
 
         @Override
         public boolean isLeaving() {
-            return false;
+            return mLeaving;
         }
     }
 
@@ -79,6 +80,22 @@
         assertThat(mHome.mCalls).hasSize(1);
     }
 
+    /** Guards against uploads that are received in full only to be refused by a leaving home. */
+    @Test
+    void bodyThatArrivesWhenTheHomeLeavesIsRefusedAtOnce() {
+        receiveStart(1, 6);
+        receiveChunk(1, "abc", false);
+        mHome.mLeaving = true;
+        mLink.sendGoingAway();
+        List<RequestMessage> sent = sent();
+        assertThat(sent.get(0).hasGoingAway()).isTrue();
+        assertThat(sent.get(1).getRefusal().getKind()).isEqualTo("LEAVING");
+        receiveChunk(1, "def", true);
+        receiveStart(2, 6);
+        assertThat(sent().get(0).getRefusal().getKind()).isEqualTo("LEAVING");
+        assertThat(mHome.mCalls).isEmpty();
+    }
+
     @Test
     void requestShorterThanDeclaredIsRefused() {
         receiveStart(1, 6);
