--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
@@ -150,6 +150,18 @@
         dispatch();
     }
 
+    /**
+     * Frees the slot of a request that the target has not run. Unlike {@link #complete}, this does
+     * not count as a service time: refusals are fast and would make the target look fast.
+     *
+     * @param request request that was started, not null; ignored otherwise
+     */
+    public void release(AdmissionRequest request) {
+        if (mRunning.remove(request) != null) {
+            dispatch();
+        }
+    }
+
     @Override
     public boolean cancel(AdmissionRequest request) {
         PrioritizedRequest queued = mQueuedByRequest.get(request);
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashExchanger.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashExchanger.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.Ticker;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -159,7 +160,7 @@
 
     private void push(List<CrashCount> counts, int recipients) {
         CrashExchange message = newMessage(counts, false);
-        for (Upstream member : randomMembers(recipients)) {
+        for (Upstream member : randomOf(mMembers, recipients)) {
             // What exceeds the limit is found when digests are compared.
             if (mPushBytes.tryTake(message.getSerializedSize())) {
                 mTransport.send(member, message);
@@ -170,20 +171,34 @@
     private CrashExchange newMessage(List<CrashCount> counts, boolean replyWanted) {
         return CrashExchange.newBuilder()
                 .setServiceId(mServiceId)
-                .addAllCounts(counts.subList(0, Math.min(MAX_COUNTS, counts.size())))
+                .addAllCounts(select(counts))
                 .setDigest(mTable.digest())
                 .setReplyWanted(replyWanted)
                 .build();
     }
 
-    private List<Upstream> randomMembers(int limit) {
-        List<Upstream> members = new ArrayList<>(mMembers);
-        int count = Math.min(limit, members.size());
+    /**
+     * Returns the counts that fit into a message: those that are not cleared first, and random ones
+     * where not all fit, so that repeated comparisons pass on all of them.
+     */
+    private List<CrashCount> select(List<CrashCount> counts) {
+        if (counts.size() <= MAX_COUNTS) {
+            return counts;
+        }
+        List<CrashCount> open =
+                counts.stream().filter(count -> !CrashTable.isCleared(count)).toList();
+        List<CrashCount> selected = new ArrayList<>(randomOf(open, MAX_COUNTS));
+        List<CrashCount> cleared = counts.stream().filter(CrashTable::isCleared).toList();
+        selected.addAll(randomOf(cleared, MAX_COUNTS - selected.size()));
+        return selected;
+    }
+
+    private <T> List<T> randomOf(List<T> values, int limit) {
+        List<T> shuffled = new ArrayList<>(values);
+        int count = Math.min(limit, shuffled.size());
         for (int i = 0; i < count; i++) {
-            int other = i + mRandom.nextInt(members.size() - i);
-            Upstream chosen = members.set(other, members.get(i));
-            members.set(i, chosen);
+            Collections.swap(shuffled, i, i + mRandom.nextInt(shuffled.size() - i));
         }
-        return members.subList(0, count);
+        return shuffled.subList(0, count);
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
@@ -39,7 +39,10 @@
     /** Duration for which a crash counts. */
     public static final long RETENTION_NANOSECONDS = TimeUnit.MINUTES.toNanos(10);
 
-    /** Maximum number of fingerprints; those with the oldest crashes are evicted first. */
+    /**
+     * Maximum number of fingerprints; cleared ones and those with the oldest crashes are evicted
+     * first.
+     */
     public static final int FINGERPRINT_LIMIT = 256;
 
     /** Maximum number of reporters whose counts are kept for one fingerprint. */
@@ -263,11 +266,13 @@
         return counts;
     }
 
-    /** Returns all counts, those with the latest crashes first. */
+    /** Returns all counts, those that are not cleared and have the latest crashes first. */
     public List<CrashCount> counts() {
         List<CrashCount> counts = new ArrayList<>();
         mRecords.keySet().forEach(fingerprint -> counts.addAll(counts(fingerprint)));
-        counts.sort(Comparator.comparingInt(CrashCount::getAgeMilliseconds));
+        counts.sort(
+                Comparator.comparing(CrashTable::isCleared)
+                        .thenComparingInt(CrashCount::getAgeMilliseconds));
         return counts;
     }
 
@@ -315,6 +320,11 @@
         return changed;
     }
 
+    /** Returns whether all crashes of a count are cleared. */
+    static boolean isCleared(CrashCount count) {
+        return count.getClearedCrashes() >= count.getCrashes();
+    }
+
     private static boolean isPlausible(CrashCount count) {
         long age = Integer.toUnsignedLong(count.getAgeMilliseconds());
         return count.getCrashes() > 0
@@ -405,8 +415,10 @@
         return counts;
     }
 
+    /** Returns the age of the last crash that is not cleared, or the largest value. */
     private long ageNanoseconds(Map<Reporter, Counts> record) {
         return record.values().stream()
+                .filter(counts -> counts.uncleared() > 0)
                 .mapToLong(this::ageNanoseconds)
                 .min()
                 .orElse(Long.MAX_VALUE);
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -127,10 +127,12 @@
 
     @Override
     public void completed(HomeRequest request, StoredAnswer answer) {
-        if (mPending.containsKey(request)) {
+        boolean failed = answer.status() >= MIN_SERVER_ERROR_STATUS;
+        // A failing target may answer before it reaches the code that crashes.
+        if (mPending.containsKey(request) && !failed) {
             mCrashes.answered(request.fingerprint());
         }
-        end(request, answer.status() >= MIN_SERVER_ERROR_STATUS);
+        end(request, failed);
     }
 
     @Override
@@ -148,7 +150,12 @@
     public void notRun(HomeRequest request, ErrorKind kind) {
         if (mPending.containsKey(request)) {
             request.refuse(kind, 0);
-            end(request, kind == ErrorKind.UPSTREAM_REJECTED);
+            SlotRequest pending = mPending.remove(request);
+            mAdmission.recordOutcome(kind == ErrorKind.UPSTREAM_REJECTED);
+            if (pending != null) {
+                mAdmission.release(pending);
+            }
+            submitHeld();
         }
     }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashExchangerTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashExchangerTest.java
@@ -179,6 +179,26 @@
         assertThat(knowing(Status.POISONED)).isEqualTo(20);
     }
 
+    /** Guards against later crashes that hide a request which still must not run. */
+    @Test
+    void nodeThatStartsLearnsAnOlderCrashingRequestAmongManyClearedOnes() {
+        start(2);
+        crash(0);
+        mNodes.get(0).mTable.crashed(List.of(CRASHING));
+        assertThat(mNodes.get(0).mTable.status(CRASHING)).isEqualTo(Status.POISONED);
+        for (int i = 0; i < 2 * CrashExchanger.MAX_COUNTS; i++) {
+            Fingerprint other = new Fingerprint(3, i);
+            mNodes.get(0).mTable.crashed(List.of(other, new Fingerprint(4, i)));
+            run(TICK_MILLISECONDS);
+            mNodes.get(0).mTable.answered(other);
+            mNodes.get(0).mTable.answered(new Fingerprint(4, i));
+        }
+        mNodes.put(1, new Node(1, 2));
+        publish();
+        run(STABILITY_MILLISECONDS);
+        assertThat(mNodes.get(1).mTable.counts(CRASHING)).isNotEmpty();
+    }
+
     /** Guards against steady traffic after the last crash. */
     @Test
     void knownCrashesCostLittle() {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
@@ -207,6 +207,19 @@
             assertThat(mRequests.isIdle()).isTrue();
         }
 
+        /** Guards against a target that is down or full and therefore looks fast. */
+        @Test
+        void refusedRequestsAreNoServiceTimes() {
+            TestRequest served = accept();
+            mTicker.advance(100, TimeUnit.MILLISECONDS);
+            mRequests.completed(served, new StoredAnswer(200, List.of(), new byte[0]));
+            int serviceTime = mAdmission.load().getServiceTimeMicroseconds();
+            for (int i = 0; i < 20; i++) {
+                mRequests.notRun(accept(), ErrorKind.NO_UPSTREAM);
+            }
+            assertThat(mAdmission.load().getServiceTimeMicroseconds()).isEqualTo(serviceTime);
+        }
+
         @Test
         void cancelledQueuedRequestNeverRuns() {
             TestRequest running = accept();
@@ -249,6 +262,14 @@
             assertThat(mRequests.isIdle()).isTrue();
         }
 
+        /** Guards against a failing target whose 500 lets a crashing request run again. */
+        @Test
+        void failedAnswerDoesNotClearASuspect() {
+            crashBesideOthers(accept(), accept(mCrashing));
+            mRequests.completed(accept(mCrashing), new StoredAnswer(500, List.of(), new byte[0]));
+            assertThat(mCrashes.status(mCrashing)).isEqualTo(CrashGuard.Status.SUSPECT);
+        }
+
         /** Guards against refusing a request because it was in flight beside the crashing one. */
         @Test
         void commonRequestsInFlightBesideCrashesAreServedAfterwards() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/EntryCall.java
@@ -26,6 +26,9 @@
      */
     static final long DEADLINE_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    /** Retry-After while no upstream of a service is up; targets need seconds to start. */
+    private static final int NO_UPSTREAM_RETRY_AFTER_MILLISECONDS = 1_000;
+
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -140,9 +143,13 @@
         Decision<Upstream> decision = mGateway.dependencies().decisions().choose(mRequest);
         if (decision.isRefused()) {
             // The last upstream that refused gives the best estimate of when to retry.
+            int retryAfter = mLastFailure == null ? 0 : mLastFailure.retryAfterMilliseconds();
+            boolean noUpstream = decision.refusal() == ErrorKind.NO_UPSTREAM;
             fail(
                     decision.refusal(),
-                    mLastFailure == null ? 0 : mLastFailure.retryAfterMilliseconds());
+                    noUpstream && retryAfter == 0
+                            ? NO_UPSTREAM_RETRY_AFTER_MILLISECONDS
+                            : retryAfter);
             return;
         }
         Attempt attempt = new Attempt(decision.value());
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -138,9 +138,6 @@
         if (mHome.isLeaving()) {
             sendGoingAway();
         }
-        if (mServer.load().getTargetDown()) {
-            sendLoad();
-        }
         context.fireChannelActive();
     }
 
