--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
@@ -161,7 +161,9 @@
         }
         Set<String> keys = new HashSet<>();
         for (StoreItem item : batch.items()) {
-            keys.add(item.key());
+            if (!item.isRemoved()) {
+                keys.add(item.key());
+            }
             apply(item);
         }
         if (batch.complete()) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreItemBatchCodec.java
@@ -115,7 +115,8 @@
                 StoreItem item = toItem(change, baseItems, remainingBytes);
                 remainingBytes -= item.isRemoved() ? 0 : item.value().size();
                 items.add(item);
-            } else if (message.getComplete() || message.getSkippedBefore() > 0) {
+            } else if (message.getComplete()
+                    || message.getSkippedBefore() > 0 && !change.getRemoved()) {
                 items.add(held);
             }
         }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
@@ -156,6 +156,21 @@
             assertThat(mOther.item("a")).isNull();
         }
 
+        /** Guards against the same for an item of which the sender knows an earlier removal. */
+        @Test
+        void itemThatWasWrittenAgainInTheSkippedRevisionsIsRemovedAtTheReceiver() {
+            list(mCopy, 4, item("a", 3));
+            read(mOther, mCopy);
+            change(mCopy, StoreItem.removed("a", 5));
+            list(mCopy, 9);
+            StoreItemBatch late = mCopy.batchAfter(mOther.revision());
+            list(mOther, 7, item("a", 7));
+            ByteString bytes = StoreItemBatchCodec.encode(late, key -> null);
+            mOther.apply(StoreItemBatchCodec.decode(bytes, mOther::item));
+            advance(2_000);
+            assertThat(mOther.item("a")).isNull();
+        }
+
         /** Guards against nodes that remove live items at different times after an outage. */
         @Test
         void recoveryGraceIsPassedOn() {
