--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
@@ -172,7 +172,8 @@
 
     /** Returns whether a crash is known that is not cleared. */
     public boolean hasCrashes() {
-        return mRecords.values().stream().anyMatch(record -> crashes(record) > 0);
+        return !mRecords.isEmpty()
+                && mRecords.values().stream().anyMatch(record -> crashes(record) > 0);
     }
 
     /**
@@ -288,6 +289,9 @@
 
     /** Removes expired counts. Called periodically. */
     public void tick() {
+        if (mRecords.isEmpty()) {
+            return;
+        }
         mRecords.values().removeIf(this::removeExpired);
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CrashReplication.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/CrashReplication.java
@@ -75,8 +75,9 @@
 
     void tick() {
         mExchanger.tick();
-        mSuspects = mTable.count(CrashGuard.Status.SUSPECT);
-        mPoisoned = mTable.count(CrashGuard.Status.POISONED);
+        boolean empty = mTable.isEmpty();
+        mSuspects = empty ? 0 : mTable.count(CrashGuard.Status.SUSPECT);
+        mPoisoned = empty ? 0 : mTable.count(CrashGuard.Status.POISONED);
     }
 
     /** Returns the number of suspected fingerprints at the last tick; may be called anywhere. */
