Count no service time for a request whose target accepts no connection

Narrows the change for refusals: a target that answers refuses within its own service, and its refusals already count as failures in its load.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
@@ -151,10 +151,10 @@
     }
 
     /**
-     * Frees the slot of a request that the target has not run. Unlike {@link #complete}, this does
-     * not count as a service time: refusals are fast and would make the target look fast.
+     * Frees the slot of a request that has not reached the target. Unlike {@link #complete}, this
+     * does not count as a service time: a failed connect is fast, and the target would look fast.
      *
-     * @param request request that was started, not null; ignored otherwise
+     * @param request request that was started; ignored otherwise
      */
     public void release(AdmissionRequest request) {
         if (mRunning.remove(request) != null) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -150,12 +150,12 @@
     public void notRun(HomeRequest request, ErrorKind kind) {
         if (mPending.containsKey(request)) {
             request.refuse(kind, 0);
-            SlotRequest pending = mPending.remove(request);
-            mAdmission.recordOutcome(kind == ErrorKind.UPSTREAM_REJECTED);
-            if (pending != null) {
-                mAdmission.release(pending);
+            if (kind == ErrorKind.NO_UPSTREAM) {
+                mAdmission.release(mPending.remove(request));
+                submitHeld();
+            } else {
+                end(request, kind == ErrorKind.UPSTREAM_REJECTED);
             }
-            submitHeld();
         }
     }
 
