--- a/foxtailmoor-catalogue/src/main/java/org/foxtailmoor/catalogue/CatalogueSnapshot.java
+++ b/foxtailmoor-catalogue/src/main/java/org/foxtailmoor/catalogue/CatalogueSnapshot.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.function.Function;
 import org.foxtailmoor.protocol.DocumentVersions;
 import org.foxtailmoor.protocol.generated.ClassEntry;
 import org.foxtailmoor.protocol.generated.DocumentVersion;
@@ -28,23 +27,17 @@
             of(DocumentVersions.NONE, Collections.emptyList());
 
     private final DocumentVersion mVersion;
-    private final SortedMap<String, Definition<OwnerEntry>> mOwners;
-    private final SortedMap<String, Definition<ClassEntry>> mClasses;
-    private final SortedMap<String, Definition<RegionEntry>> mRegions;
-    private final SortedMap<String, Definition<ServiceEntry>> mServices;
-    private final SortedMap<String, Definition<RouteEntry>> mRoutes;
-    private final SortedMap<String, Definition<LimitEntry>> mLimits;
-    private final SortedMap<String, Definition<RetryEntry>> mRetries;
+    private final SortedMap<String, Definition<OwnerEntry>> mOwners = new TreeMap<>();
+    private final SortedMap<String, Definition<ClassEntry>> mClasses = new TreeMap<>();
+    private final SortedMap<String, Definition<RegionEntry>> mRegions = new TreeMap<>();
+    private final SortedMap<String, Definition<ServiceEntry>> mServices = new TreeMap<>();
+    private final SortedMap<String, Definition<RouteEntry>> mRoutes = new TreeMap<>();
+    private final SortedMap<String, Definition<LimitEntry>> mLimits = new TreeMap<>();
+    private final SortedMap<String, Definition<RetryEntry>> mRetries = new TreeMap<>();
 
     private CatalogueSnapshot(DocumentVersion version, Collection<Entry> entries) {
         mVersion = version;
-        mOwners = index(entries, Entry::hasOwnerEntry, Entry::getOwnerEntry);
-        mClasses = index(entries, Entry::hasClassEntry, Entry::getClassEntry);
-        mRegions = index(entries, Entry::hasRegionEntry, Entry::getRegionEntry);
-        mServices = index(entries, Entry::hasServiceEntry, Entry::getServiceEntry);
-        mRoutes = index(entries, Entry::hasRouteEntry, Entry::getRouteEntry);
-        mLimits = index(entries, Entry::hasLimitEntry, Entry::getLimitEntry);
-        mRetries = index(entries, Entry::hasRetryEntry, Entry::getRetryEntry);
+        entries.forEach(this::add);
     }
 
     /**
@@ -64,37 +57,37 @@
 
     /** Returns the owners by id, unmodifiable. */
     public SortedMap<String, Definition<OwnerEntry>> owners() {
-        return mOwners;
+        return Collections.unmodifiableSortedMap(mOwners);
     }
 
     /** Returns the classes by id, unmodifiable. */
     public SortedMap<String, Definition<ClassEntry>> classes() {
-        return mClasses;
+        return Collections.unmodifiableSortedMap(mClasses);
     }
 
     /** Returns the regions by id, unmodifiable. */
     public SortedMap<String, Definition<RegionEntry>> regions() {
-        return mRegions;
+        return Collections.unmodifiableSortedMap(mRegions);
     }
 
     /** Returns the services by id, unmodifiable. */
     public SortedMap<String, Definition<ServiceEntry>> services() {
-        return mServices;
+        return Collections.unmodifiableSortedMap(mServices);
     }
 
     /** Returns the routes by id, unmodifiable. */
     public SortedMap<String, Definition<RouteEntry>> routes() {
-        return mRoutes;
+        return Collections.unmodifiableSortedMap(mRoutes);
     }
 
     /** Returns the limits by id, unmodifiable. */
     public SortedMap<String, Definition<LimitEntry>> limits() {
-        return mLimits;
+        return Collections.unmodifiableSortedMap(mLimits);
     }
 
     /** Returns the retry policies by id, unmodifiable. */
     public SortedMap<String, Definition<RetryEntry>> retries() {
-        return mRetries;
+        return Collections.unmodifiableSortedMap(mRetries);
     }
 
     /** Returns the region that a zone belongs to, or an empty string for an unknown zone. */
@@ -107,20 +100,24 @@
         return "";
     }
 
-    private static <T> SortedMap<String, Definition<T>> index(
-            Collection<Entry> entries, Function<Entry, Boolean> filter, Function<Entry, T> body) {
-        SortedMap<String, Definition<T>> index = new TreeMap<>();
-        for (Entry entry : entries) {
-            if (filter.apply(entry)) {
-                Definition<T> definition =
-                        new Definition<>(
-                                entry.getId(),
-                                entry.getOwner(),
-                                entry.getClassId(),
-                                body.apply(entry));
-                index.put(entry.getId(), definition);
+    private void add(Entry entry) {
+        switch (entry.getBodyCase()) {
+            case OWNER_ENTRY -> add(mOwners, entry, entry.getOwnerEntry());
+            case CLASS_ENTRY -> add(mClasses, entry, entry.getClassEntry());
+            case REGION_ENTRY -> add(mRegions, entry, entry.getRegionEntry());
+            case SERVICE_ENTRY -> add(mServices, entry, entry.getServiceEntry());
+            case ROUTE_ENTRY -> add(mRoutes, entry, entry.getRouteEntry());
+            case LIMIT_ENTRY -> add(mLimits, entry, entry.getLimitEntry());
+            case RETRY_ENTRY -> add(mRetries, entry, entry.getRetryEntry());
+            default -> {
+                // An entry of a type that a newer release has added.
             }
         }
-        return Collections.unmodifiableSortedMap(index);
+    }
+
+    private static <T> void add(SortedMap<String, Definition<T>> definitions, Entry entry, T body) {
+        definitions.put(
+                entry.getId(),
+                new Definition<>(entry.getId(), entry.getOwner(), entry.getClassId(), body));
     }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Route.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/Route.java
@@ -41,4 +41,27 @@
     public boolean isIdempotent() {
         return entry().getIdempotent();
     }
+
+    /**
+     * Returns whether another route has the same entries. Entries are compared as objects: those
+     * that a new version of the catalogue leaves unchanged are kept.
+     *
+     * @param other other route, or null
+     */
+    boolean hasBodiesOf(Route other) {
+        return other != null
+                && definition.id().equals(other.definition.id())
+                && definition.owner().equals(other.definition.owner())
+                && entry() == other.entry()
+                && service.id().equals(other.service.id())
+                && service.body() == other.service.body()
+                && requestClass.id().equals(other.requestClass.id())
+                && requestClass.body() == other.requestClass.body()
+                && bodyOf(limit) == bodyOf(other.limit)
+                && bodyOf(retry) == bodyOf(other.retry);
+    }
+
+    private static Object bodyOf(Definition<?> definition) {
+        return definition == null ? null : definition.body();
+    }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
@@ -75,6 +75,22 @@
         return new RoutingSnapshot(mCatalogueVersion, mRoutes, instancesVersion, instances);
     }
 
+    /**
+     * Builds a snapshot of another version of the catalogue. Routes and hosts whose entries are the
+     * same objects are taken from this snapshot.
+     *
+     * @param catalogue catalogue in force, not null
+     * @param instancesVersion version of the instance list, not null
+     * @param instances instances of the list, without null
+     */
+    public RoutingSnapshot withCatalogue(
+            CatalogueSnapshot catalogue,
+            DocumentVersion instancesVersion,
+            Collection<Instance> instances) {
+        return new RoutingSnapshot(
+                catalogue.version(), mRoutes.withCatalogue(catalogue), instancesVersion, instances);
+    }
+
     private static List<Upstream> sortedUpstreams(Collection<Instance> instances) {
         List<Upstream> upstreams = new ArrayList<>(instances.size());
         for (Instance instance : instances) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
@@ -113,12 +113,13 @@
         List<Instance> instances =
                 byAddress.values().stream().map(InstanceRecord::instance).toList();
         DocumentVersion version = versionOf(mSnapshotNumber);
-        boolean sameCatalogue =
-                mSnapshot != null && mSnapshot.catalogueVersion().equals(mCatalogue.version());
-        mSnapshot =
-                sameCatalogue
-                        ? mSnapshot.withInstances(version, instances)
-                        : RoutingSnapshot.of(mCatalogue, version, instances);
+        if (mSnapshot == null) {
+            mSnapshot = RoutingSnapshot.of(mCatalogue, version, instances);
+        } else if (mSnapshot.catalogueVersion().equals(mCatalogue.version())) {
+            mSnapshot = mSnapshot.withInstances(version, instances);
+        } else {
+            mSnapshot = mSnapshot.withCatalogue(mCatalogue, version, instances);
+        }
         return mSnapshot;
     }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingSnapshotTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingSnapshotTest.java
@@ -2,6 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.foxtailmoor.catalogue.CatalogueSnapshot;
+import org.foxtailmoor.protocol.generated.ClassEntry;
+import org.foxtailmoor.protocol.generated.Entry;
+import org.foxtailmoor.protocol.generated.RouteEntry;
+import org.foxtailmoor.protocol.generated.ServiceEntry;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -61,6 +72,110 @@
         }
     }
 
+    @Nested
+    class NewerCatalogue {
+        private static final long DEFAULT_SEED = 11;
+
+        private final long mSeed = Long.getLong("foxtailmoor.seed", DEFAULT_SEED);
+        private final Random mRandom = new Random(mSeed);
+        private final Map<String, Entry> mEntries = new TreeMap<>();
+        private long mVersion;
+
+        NewerCatalogue() {
+            put("c", entry -> entry.setClassEntry(ClassEntry.getDefaultInstance()));
+            for (int i = 0; i < 12; i++) {
+                change();
+            }
+        }
+
+        private void put(String id, Consumer<Entry.Builder> body) {
+            Entry.Builder entry = Entry.newBuilder().setId(id).setClassId("c");
+            body.accept(entry);
+            mEntries.put(id, entry.build());
+        }
+
+        /** Adds, replaces or removes a route or a service. */
+        private void change() {
+            int number = mRandom.nextInt(8);
+            if (mRandom.nextInt(4) == 0) {
+                String id = (mRandom.nextBoolean() ? "r" : "s") + number;
+                if (mEntries.remove(id) != null) {
+                    return;
+                }
+            }
+            if (mRandom.nextInt(3) == 0) {
+                ServiceEntry service = ServiceEntry.newBuilder().setSlots(number + 1).build();
+                put("s" + number % 3, entry -> entry.setServiceEntry(service));
+                return;
+            }
+            RouteEntry route =
+                    RouteEntry.newBuilder()
+                            .setHost("h" + number % 3)
+                            .setMethod("*")
+                            .setPathPrefix("/p" + mRandom.nextInt(4) + "/")
+                            .setServiceId("s" + mRandom.nextInt(3))
+                            .build();
+            put("r" + number, entry -> entry.setRouteEntry(route));
+        }
+
+        private CatalogueSnapshot catalogue() {
+            mVersion++;
+            return CatalogueSnapshot.of(
+                    RoutingSnapshotBuilder.version(mVersion), mEntries.values());
+        }
+
+        private static RoutingSnapshot snapshotOf(CatalogueSnapshot catalogue) {
+            return RoutingSnapshot.of(catalogue, RoutingSnapshotBuilder.version(1), List.of());
+        }
+
+        private static List<Object> decisions(RoutingSnapshot snapshot) {
+            List<Object> decisions = new ArrayList<>();
+            for (int host = 0; host < 3; host++) {
+                for (int prefix = 0; prefix < 4; prefix++) {
+                    decisions.add(snapshot.route("h" + host, "GET", "/p" + prefix + "/x"));
+                }
+            }
+            decisions.add(snapshot.incompleteRoutes());
+            return decisions;
+        }
+
+        /** Guards against a route of an earlier version that stays in force. */
+        @Test
+        void snapshotOfALaterCatalogueDecidesAsOneBuiltAnew() {
+            RoutingSnapshot snapshot = snapshotOf(catalogue());
+            for (int i = 0; i < 500; i++) {
+                change();
+                CatalogueSnapshot later = catalogue();
+                snapshot =
+                        snapshot.withCatalogue(later, RoutingSnapshotBuilder.version(1), List.of());
+                assertThat(decisions(snapshot))
+                        .as("seed %d, change %d", mSeed, i)
+                        .isEqualTo(decisions(snapshotOf(later)));
+            }
+        }
+
+        /** Guards against a change whose cost grows with the routes that it leaves alone. */
+        @Test
+        void unchangedRoutesAreShared() {
+            put("s0", entry -> entry.setServiceEntry(ServiceEntry.getDefaultInstance()));
+            RouteEntry route =
+                    RouteEntry.newBuilder()
+                            .setHost("h7")
+                            .setMethod("*")
+                            .setPathPrefix("/p/")
+                            .setServiceId("s0")
+                            .build();
+            put("kept", entry -> entry.setRouteEntry(route));
+            RoutingSnapshot first = snapshotOf(catalogue());
+            put("r0", entry -> entry.setRouteEntry(route.toBuilder().setHost("h0").build()));
+            RoutingSnapshot second =
+                    first.withCatalogue(catalogue(), RoutingSnapshotBuilder.version(1), List.of());
+            assertThat(second.route("h7", "GET", "/p/x"))
+                    .isNotNull()
+                    .isSameAs(first.route("h7", "GET", "/p/x"));
+        }
+    }
+
     /** Invariant 1: neither document of a snapshot may be replaced by an older version. */
     @Test
     void snapshotIsNewerOnlyIfNoDocumentIsOlder() {
