--- a/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
+++ b/foxtailmoor-base/src/main/java/org/foxtailmoor/base/SettingsReader.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -58,12 +57,14 @@
      */
     public static SettingsReader of(String source, String text) {
         try {
-            return new SettingsReader(source, new TomlMapper().readTree(text));
+            return new SettingsReader(source, JsonTrees.readToml(text));
         } catch (JsonProcessingException e) {
             throw FoxtailmoorException.of(
                     ErrorKind.SETTINGS_INVALID,
                     source + " is not valid TOML: " + e.getOriginalMessage(),
                     e);
+        } catch (IOException e) {
+            throw FoxtailmoorException.of(ErrorKind.SETTINGS_INVALID, "cannot read " + source, e);
         }
     }
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/PeerStates.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/PeerStates.java
@@ -93,19 +93,25 @@
 
     /** Returns whether a read of the store is late and still pending. */
     boolean isStoreLate() {
-        return mLateCalls.keySet().stream().anyMatch(StoreReplica.Call.ReadStore.class::isInstance);
+        for (StoreReplica.Call call : mLateCalls.keySet()) {
+            if (call instanceof StoreReplica.Call.ReadStore) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns whether a node reaches its peers. */
     DirectReadSchedule.Reach reachOf(ReadOrder order) {
-        if (order.peers().stream().allMatch(this::hasFailed)) {
+        if (haveAllFailed(order.peers())) {
             return DirectReadSchedule.Reach.NONE;
         }
-        boolean late =
-                order.sources().stream()
-                        .filter(source -> !source.equals(ReadOrder.STORE))
-                        .allMatch(host -> hasFailed(host) || isLate(host));
-        return late ? DirectReadSchedule.Reach.LATE : DirectReadSchedule.Reach.SOME;
+        for (String source : order.sources()) {
+            if (!source.equals(ReadOrder.STORE) && !hasFailed(source) && !isLate(source)) {
+                return DirectReadSchedule.Reach.SOME;
+            }
+        }
+        return DirectReadSchedule.Reach.LATE;
     }
 
     /**
@@ -138,13 +144,27 @@
         return outdated == null ? Source.USABLE : new Source(State.SUSPECT, outdated);
     }
 
+    private boolean haveAllFailed(Collection<String> hosts) {
+        for (String host : hosts) {
+            if (!hasFailed(host)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean hasFailed(String host) {
         Failure failure = mFailures.get(host);
         return failure != null && mTicker.nanoTime() - failure.endNanoseconds() < 0;
     }
 
     private boolean isLate(String host) {
-        return mLateCalls.keySet().stream().anyMatch(call -> reads(call, host));
+        for (StoreReplica.Call call : mLateCalls.keySet()) {
+            if (reads(call, host)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static boolean reads(StoreReplica.Call call, String host) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/NodeMain.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import org.foxtailmoor.base.JsonLogConfigurator;
+import org.foxtailmoor.base.JsonLogProvider;
 import org.foxtailmoor.base.Program;
 import org.kohsuke.args4j.Option;
 
@@ -27,7 +28,7 @@
     protected int run() {
         NodeSettings settings = NodeSettings.of(mSettings);
         // JsonLogConfigurator reads these properties when the first logger is created.
-        System.setProperty(JsonLogConfigurator.OUTPUT_PROPERTY, JsonLogConfigurator.OUTPUT_BATCH);
+        JsonLogProvider.install();
         System.setProperty(LOG_LEVEL_PROPERTY, settings.log().level().toUpperCase(Locale.ROOT));
         Node node = Node.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(node), "shutdown"));
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/StoreNode.java
@@ -261,7 +261,8 @@
                                 feed,
                                 new StoreSnapshotBuilder(
                                         mOptions.decoder(), new StateChangeLogger()),
-                                mMetrics.timer("foxtailmoor.control.loop_delay_nanoseconds"),
+                                LoopDelayTimer.register(
+                                        mMetrics, "foxtailmoor.control.loop_delay_nanoseconds"),
                                 this::onSnapshot));
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataMetrics.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.node.LoopDelayTimer;
 
 /** Metrics of the data side. Timers record nanoseconds. */
 final class DataMetrics {
@@ -34,7 +35,7 @@
         mEntryDuration = registry.timer(PREFIX + "entry.duration_nanoseconds");
         mHomeDuration = registry.timer(PREFIX + "home.duration_nanoseconds");
         mTargetDuration = registry.timer(PREFIX + "target.duration_nanoseconds");
-        mLoopDelay = registry.timer(PREFIX + "data.loop_delay_nanoseconds");
+        mLoopDelay = LoopDelayTimer.register(registry, PREFIX + "data.loop_delay_nanoseconds");
         mCallerClosedUnanswered = registry.counter(PREFIX + "caller.closed.unanswered");
         mEntryRequests = registry.counter(PREFIX + "entry.requests");
         mEntryRetries = registry.counter(PREFIX + "entry.retries");
