Review the place of queued requests and refuse at once what cannot be served

Cause: a queued request was given up only when it could not end in time even if it ran at once. Change: each tick counts the requests ahead, as the submission does, and refuses with a Retry-After. Result: queuedRequestIsRefusedAtOnceWhenRequestsBeforeItUseUpItsTime failed before (expected OVERLOADED, was null).

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/DeadlineAdmission.java
@@ -172,15 +172,29 @@
         return true;
     }
 
+    /**
+     * Reviews the place of each queued request. Since it was accepted, the target may have turned
+     * slow, or requests that precede it may have arrived. A request that can no longer be served is
+     * refused at once, so that it can still be placed elsewhere.
+     */
     @Override
     public void tick() {
         long now = mTicker.nanoTime();
+        long mean = mServiceTimes.overallMean(now);
+        int ahead = 0;
         for (PrioritizedRequest queued : new ArrayList<>(mQueue)) {
             long service = serviceNanoseconds(queued.mRequest);
-            if (queued.mRequest.deadlineNanoseconds() - (now + service) < 0) {
+            long left = queued.mRequest.deadlineNanoseconds() - (now + service);
+            long wait = waitNanoseconds(ahead, mean);
+            if (left < 0) {
                 remove(queued);
                 queued.mRequest.refuse(ErrorKind.DEADLINE_BEFORE_RUN, 0);
-            } else if (!queued.mLate && wouldBeLate(queued.mRequest, now, service)) {
+            } else if (left < wait) {
+                remove(queued);
+                queued.mRequest.refuse(ErrorKind.OVERLOADED, retryAfterMilliseconds(wait));
+            } else if (queued.mLate || !wouldBeLate(queued.mRequest, now, service)) {
+                ahead++;
+            } else {
                 markLateOrRefuse(queued);
             }
         }
@@ -247,7 +261,9 @@
         mQueue.remove(queued);
         if (mLateQueued >= mSlots * MAX_LATE_QUEUED_RATIO) {
             mQueuedByRequest.remove(queued.mRequest);
-            queued.mRequest.refuse(ErrorKind.OVERLOADED, 0);
+            long wait =
+                    waitNanoseconds(mQueue.size(), mServiceTimes.overallMean(mTicker.nanoTime()));
+            queued.mRequest.refuse(ErrorKind.OVERLOADED, retryAfterMilliseconds(wait));
             return;
         }
         queued.mLate = true;
@@ -287,7 +303,10 @@
 
     /** Estimates how long a request waits behind the requests that precede it. */
     private long expectedWaitNanoseconds(PrioritizedRequest queued, long serviceNanoseconds) {
-        int ahead = mQueue.headSet(queued).size();
+        return waitNanoseconds(mQueue.headSet(queued).size(), serviceNanoseconds);
+    }
+
+    private long waitNanoseconds(int ahead, long serviceNanoseconds) {
         long mustEnd = ahead + 1L - Math.max(0, mSlots - mRunning.size());
         return mustEnd <= 0 ? 0 : mustEnd * serviceNanoseconds / mSlots;
     }
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/admission/DeadlineAdmissionTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/admission/DeadlineAdmissionTest.java
@@ -160,6 +160,30 @@
             assertThat(queued.mRefusal).isEqualTo(ErrorKind.DEADLINE_BEFORE_RUN);
         }
 
+        /** Guards against a refusal that comes too late for a try at another target. */
+        @Test
+        void queuedRequestIsRefusedAtOnceWhenRequestsBeforeItUseUpItsTime() {
+            fillSlots();
+            ObjectiveRequest overtaken = submit(1, 450, 450);
+            for (int i = 0; i < 8; i++) {
+                submit(0, 700, 700);
+            }
+            mAdmission.tick();
+            assertThat(overtaken.mRefusal).isEqualTo(ErrorKind.OVERLOADED);
+            assertThat(overtaken.mRetryAfter).isPositive();
+        }
+
+        @Test
+        void queuedRequestsThatCanBeServedInTurnAreKept() {
+            fillSlots();
+            List<ObjectiveRequest> queued = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                queued.add(submit(0, 700, 700));
+            }
+            mAdmission.tick();
+            assertThat(queued).allMatch(request -> request.mRefusal == null);
+        }
+
         @Test
         void refuseQueuedRefusesAllQueuedRequests() {
             List<ObjectiveRequest> running = fillSlots();
@@ -219,6 +243,84 @@
         }
     }
 
+    /**
+     * Replays a target that turns four times slower for three seconds while its queue is filled by
+     * requests of two priorities. Requests that were accepted on the faster times have to be told
+     * soon that they can't be served, while their callers can still go elsewhere.
+     */
+    @Nested
+    class TargetThatTurnsSlow {
+        private static final int DEADLINE_MILLISECONDS = 1_000;
+        private static final int SLOW_FROM = 2_000;
+        private static final int SLOW_UNTIL = 5_000;
+
+        private final long mSeed = Long.getLong("foxtailmoor.seed", 17);
+        private final Random mRandom = new Random(mSeed);
+        private final DeadlineAdmission mSlowAdmission = DeadlineAdmission.of(mTicker, 12);
+        private final List<TimedRequest> mWaiting = new ArrayList<>();
+        private final PriorityQueue<TimedRequest> mRunning =
+                new PriorityQueue<>((a, b) -> Integer.compare(a.mEnd, b.mEnd));
+        private int mServed;
+        private int mLongestHeld;
+
+        private final class TimedRequest {
+            private final ObjectiveRequest mRequest;
+            private final int mArrival;
+            private int mEnd;
+
+            TimedRequest(ObjectiveRequest request, int arrival) {
+                mRequest = request;
+                mArrival = arrival;
+            }
+        }
+
+        @Test
+        void noRequestIsRefusedAfterThreeQuartersOfItsTime() {
+            for (int now = 0; now < 7_000; now++) {
+                mTicker.advance(1, TimeUnit.MILLISECONDS);
+                endRequests(now);
+                if (mRandom.nextInt(1_000) < 85) {
+                    int priority = mRandom.nextInt(10) < 3 ? 0 : 1;
+                    ObjectiveRequest request =
+                            new ObjectiveRequest(priority, 400, DEADLINE_MILLISECONDS);
+                    mWaiting.add(new TimedRequest(request, now));
+                    mSlowAdmission.submit(request);
+                }
+                if (now % 20 == 0) {
+                    mSlowAdmission.tick();
+                }
+                updateWaiting(now);
+            }
+            assertThat(mLongestHeld)
+                    .as("seed %d, %d served", mSeed, mServed)
+                    .isLessThanOrEqualTo(DEADLINE_MILLISECONDS * 3 / 4);
+            assertThat(mServed).as("seed %d", mSeed).isGreaterThan(300);
+        }
+
+        private void endRequests(int now) {
+            while (!mRunning.isEmpty() && mRunning.peek().mEnd <= now) {
+                TimedRequest ended = mRunning.poll();
+                mServed += ended.mRequest.mDeadline - mTicker.nanoTime() >= 0 ? 1 : 0;
+                mSlowAdmission.complete(ended.mRequest);
+            }
+        }
+
+        private void updateWaiting(int now) {
+            for (TimedRequest waiting : List.copyOf(mWaiting)) {
+                if (waiting.mRequest.mStarted) {
+                    boolean slow = now >= SLOW_FROM && now < SLOW_UNTIL;
+                    int service = (63 + mRandom.nextInt(126)) * (slow ? 4 : 1);
+                    waiting.mEnd = now + service;
+                    mRunning.add(waiting);
+                    mWaiting.remove(waiting);
+                } else if (waiting.mRequest.mRefusal != null) {
+                    mLongestHeld = Math.max(mLongestHeld, now - waiting.mArrival);
+                    mWaiting.remove(waiting);
+                }
+            }
+        }
+    }
+
     /**
      * Simulates a load of twice the capacity. Most started requests must end on time, and the slots
      * must stay in use. A first-in-first-out queue would make all of them late.
