Listen on the node port only when the node is ready

Change: a configured node port is checked at the start and bound when the node is ready; until then other nodes are refused and place their requests elsewhere. A port that is taken meanwhile is tried again. Also holds the port of TargetFailureTest.unreachableTargetIsReportedAsNotRun bound and not listening, so that no other process can take it.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Ticker;
 import java.net.InetSocketAddress;
@@ -102,6 +101,7 @@
     private final EventLoopLag mEventLoopLag;
     private final CallerServer mCallers;
     private final LinkServer mLinkServer;
+    private final NodePort mNodePort;
     private final DataDrain mDrain;
     private InetSocketAddress mCallerAddress;
     private InetSocketAddress mNodeAddress;
@@ -136,7 +136,7 @@
                         ticker,
                         headers);
         mHome = newHome(memory);
-        mLinks = new Links(loop, node.id(), dependencies.incarnation(), memory, ticker, mUpstreams);
+        mLinks = newLinks(memory);
         mEventLoopLag = new EventLoopLag(ticker);
         mEntry =
                 new EntryGateway(
@@ -158,6 +158,7 @@
                                 mLog));
         mCallers = new CallerServer(mEntry, memory);
         mLinkServer = newLinkServer(memory);
+        mNodePort = new NodePort(loop, address(node.nodePort()), mLinkServer);
         if (dependencies.policies().exchangesCrashes()) {
             mLinks.setCrashExchange(mCrashes::receive);
             mLinkServer.setCrashExchange(mCrashes::receive);
@@ -195,6 +196,16 @@
                         mCrashes.table()));
     }
 
+    private Links newLinks(BodyMemory memory) {
+        return new Links(
+                mDependencies.loop(),
+                mDependencies.settings().node().id(),
+                mDependencies.incarnation(),
+                memory,
+                mDependencies.ticker(),
+                mUpstreams);
+    }
+
     private LinkServer newLinkServer(BodyMemory memory) {
         NodeSettings.NodeSection node = mDependencies.settings().node();
         return new LinkServer(
@@ -237,21 +248,19 @@
     }
 
     /**
-     * Binds the caller port and the node port and schedules the first tick. Blocks; must not be
-     * called on the data loop.
+     * Binds the caller port and schedules the first tick. The node port is only checked: until the
+     * node is ready, other nodes are refused connections and place their requests elsewhere. A node
+     * port that the operating system chooses is bound at once, because others have to learn it.
+     * Blocks; must not be called on the data loop.
      *
      * @throws FoxtailmoorException of kind ADDRESS_IN_USE if a port cannot be bound
      */
     public void start() {
         NodeSettings.NodeSection node = mDependencies.settings().node();
         mHome.setTargetStateListener(this::onTargetState);
-        mNodeAddress =
-                awaitBind(
-                        mLinkServer.bind(mDependencies.loop(), address(node.nodePort())),
-                        "node.node_port",
-                        node.nodePort());
+        mNodeAddress = mNodePort.start();
         mCallerAddress =
-                awaitBind(
+                ListeningPort.awaitBind(
                         mCallers.bind(mDependencies.loop(), address(node.callerPort())),
                         "node.caller_port",
                         node.callerPort());
@@ -264,7 +273,7 @@
         return mCallerAddress;
     }
 
-    /** Returns the bound address of the node port, or null before {@link #start()}. */
+    /** Returns the address of the node port, or null before {@link #start()}. */
     public InetSocketAddress nodeAddress() {
         return mNodeAddress;
     }
@@ -349,6 +358,7 @@
         }
         mReady = true;
         mHome.startServing(mDependencies.policies().newHomeDecisions(mContext, mAdmission));
+        mNodePort.onReady();
     }
 
     /** Returns whether an upstream is this node's own. */
@@ -460,15 +470,4 @@
     private InetSocketAddress address(int port) {
         return new InetSocketAddress(mDependencies.settings().node().address(), port);
     }
-
-    private static InetSocketAddress awaitBind(ChannelFuture future, String key, int port) {
-        future.awaitUninterruptibly();
-        if (!future.isSuccess()) {
-            throw FoxtailmoorException.of(
-                    ErrorKind.ADDRESS_IN_USE,
-                    "cannot listen on " + key + " = " + port + ": " + future.cause().getMessage(),
-                    future.cause());
-        }
-        return (InetSocketAddress) future.channel().localAddress();
-    }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -27,7 +27,8 @@
     private final BodyTransfers mTransfers;
     private final Set<LinkServerHandler> mLinks = new LinkedHashSet<>();
     private UnaryOperator<CrashExchange> mCrashExchange = message -> null;
-    private final ListeningPort mPort = new ListeningPort(this::accept);
+    private ListeningPort mPort;
+    private boolean mStopped;
 
     LinkServer(
             String instanceId,
@@ -44,8 +45,12 @@
         mTransfers = transfers;
     }
 
-    /** Starts listening; the channel of the returned future has the bound address. */
+    /**
+     * Starts listening; the channel of the returned future has the bound address. May be called
+     * again after a failure.
+     */
     ChannelFuture bind(EventLoopGroup group, InetSocketAddress address) {
+        mPort = new ListeningPort(this::accept);
         return mPort.bind(group, address);
     }
 
@@ -115,9 +120,17 @@
         new ArrayList<>(mLinks).forEach(LinkServerHandler::close);
     }
 
-    /** Stops listening. */
+    /** Returns whether {@link #stop} was called. */
+    boolean isStopped() {
+        return mStopped;
+    }
+
+    /** Stops listening if the server has started to. */
     void stop() {
-        mPort.stop();
+        mStopped = true;
+        if (mPort != null) {
+            mPort.stop();
+        }
     }
 
     void onOpened(LinkServerHandler link) {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/ListeningPort.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/ListeningPort.java
@@ -13,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.function.Consumer;
+import org.foxtailmoor.base.ErrorKind;
+import org.foxtailmoor.base.FoxtailmoorException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +46,31 @@
         mInitializer = initializer;
     }
 
+    /**
+     * Waits for the end of a bind.
+     *
+     * @param bound future of the bind, not null
+     * @param key key of the setting with the port, for the message
+     * @param port port of the setting
+     * @return bound address
+     * @throws FoxtailmoorException of kind ADDRESS_IN_USE if the port could not be bound
+     */
+    static InetSocketAddress awaitBind(ChannelFuture bound, String key, int port) {
+        bound.awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw inUse(key, port, bound.cause());
+        }
+        return (InetSocketAddress) bound.channel().localAddress();
+    }
+
+    /** Creates the error of a port that could not be bound. */
+    static FoxtailmoorException inUse(String key, int port, Throwable cause) {
+        return FoxtailmoorException.of(
+                ErrorKind.ADDRESS_IN_USE,
+                "cannot listen on " + key + " = " + port + ": " + cause.getMessage(),
+                cause);
+    }
+
     /** Starts listening; the channel of the returned future has the bound address. */
     ChannelFuture bind(EventLoopGroup group, InetSocketAddress address) {
         return new ServerBootstrap()
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetFailureTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetFailureTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -127,11 +129,17 @@
 
     @Test
     void unreachableTargetIsReportedAsNotRun() throws Exception {
+        InetSocketAddress address = mTarget.address();
         mTarget.close();
-        HttpResponse<String> answer = mFleet.post(mEntry, "/orders", "maps").get();
-        assertThat(answer.statusCode()).isEqualTo(503);
-        assertThat(answer.headers().firstValue("foxtailmoor-error")).contains("NO_UPSTREAM");
-        assertThat(answer.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+        // Bound without listening, the port refuses connections and no other process can take it.
+        try (Socket holder = new Socket()) {
+            holder.setReuseAddress(true);
+            holder.bind(address);
+            HttpResponse<String> answer = mFleet.post(mEntry, "/orders", "maps").get();
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.headers().firstValue("foxtailmoor-error")).contains("NO_UPSTREAM");
+            assertThat(answer.headers().firstValue("foxtailmoor-outcome")).contains("not-run");
+        }
     }
 
     @Test
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -112,10 +112,24 @@
         return mLoop;
     }
 
+    /** Adds a node with the line that sets its node port in the settings. */
+    Node addWithPort(String id, String service, InetSocketAddress target, String nodePort) {
+        String minimum = NodeSettingsTest.MINIMAL_SETTINGS.replace("node_port = 0", nodePort);
+        return add(minimum, id, service, target);
+    }
+
     Node add(String id, String service, InetSocketAddress target, String... settings) {
+        return add(NodeSettingsTest.MINIMAL_SETTINGS, id, service, target, settings);
+    }
+
+    private Node add(
+            String minimum,
+            String id,
+            String service,
+            InetSocketAddress target,
+            String... settings) {
         String text =
-                NodeSettingsTest.MINIMAL_SETTINGS
-                        .replace("\"order-1\"", "\"" + id + "\"")
+                minimum.replace("\"order-1\"", "\"" + id + "\"")
                         .replace("\"order-desk\"", "\"" + service + "\"")
                         .replace("port = 8080", "port = " + target.getPort())
                         .replace("[target]", String.join("\n", settings) + "\n[target]");
