Limit the memory that answers and a single answer may take

Cause: one answer without end could hold the whole body memory of a node until its deadline, and the uploads and answers of other callers failed meanwhile. Change: answers use at most three quarters of the body memory, one answer a third of that. Result: openEndlessAnswersLeaveMemoryForUploads and oneAnswerIsLimitedToAPartOfTheMemory failed with the limits taken out ('no request reached the target', and no answer), and pass.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/BodyMemory.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/BodyMemory.java
@@ -5,10 +5,12 @@
  * the data loop.
  */
 public final class BodyMemory {
+    private final BodyMemory mWhole;
     private final long mLimitBytes;
     private long mReservedBytes;
 
-    private BodyMemory(long limitBytes) {
+    private BodyMemory(BodyMemory whole, long limitBytes) {
+        mWhole = whole;
         mLimitBytes = limitBytes;
     }
 
@@ -22,7 +24,20 @@
         if (limitBytes < 0) {
             throw new IllegalArgumentException("limitBytes must be at least 0, is " + limitBytes);
         }
-        return new BodyMemory(limitBytes);
+        return new BodyMemory(null, limitBytes);
+    }
+
+    /**
+     * Creates a budget that takes its memory from this one, up to a part of the limit. What is left
+     * of this budget stays available to others, however much the users of the part need.
+     *
+     * @param ratio part of the limit, from 0 to 1
+     */
+    public BodyMemory part(double ratio) {
+        if (!(ratio >= 0 && ratio <= 1)) {
+            throw new IllegalArgumentException("ratio must be from 0 to 1, is " + ratio);
+        }
+        return new BodyMemory(this, (long) (mLimitBytes * ratio));
     }
 
     /**
@@ -35,6 +50,9 @@
         if (bytes < 0 || bytes > mLimitBytes - mReservedBytes) {
             return false;
         }
+        if (mWhole != null && !mWhole.tryReserve(bytes)) {
+            return false;
+        }
         mReservedBytes += bytes;
         return true;
     }
@@ -51,6 +69,14 @@
                     "cannot release " + bytes + " bytes, " + mReservedBytes + " are reserved");
         }
         mReservedBytes -= bytes;
+        if (mWhole != null) {
+            mWhole.release(bytes);
+        }
+    }
+
+    /** Returns the maximum number of reserved bytes. */
+    public long limitBytes() {
+        return mLimitBytes;
     }
 
     /** Returns the number of reserved bytes. */
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -46,6 +46,9 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(DataSide.class);
     private static final long TICK_MILLISECONDS = 20;
 
+    /** Part of the body memory that answers may use, so that uploads always have the rest. */
+    private static final double ANSWER_MEMORY_RATIO = 0.75;
+
     /**
      * Tick interval while the home has no requests, and interval of the periodic tasks that
      * tolerate it. Keeps the CPU use of an idle node low.
@@ -118,6 +121,7 @@
         Ticker ticker = dependencies.ticker();
         HeaderNames headers = dependencies.policies().headers();
         BodyMemory memory = BodyMemory.of(node.bodyMemoryBytes());
+        BodyMemory answerMemory = memory.part(ANSWER_MEMORY_RATIO);
         DataMetrics metrics = new DataMetrics(dependencies.metrics());
         mMetrics = metrics;
         mLog = new DecisionLog(ticker);
@@ -132,11 +136,11 @@
                 new TargetClient(
                         loop,
                         dependencies.settings().target().socketAddress(),
-                        memory,
+                        answerMemory,
                         ticker,
                         headers);
         mHome = newHome(memory);
-        mLinks = newLinks(memory);
+        mLinks = newLinks(answerMemory);
         mEventLoopLag = new EventLoopLag(ticker);
         mEntry =
                 new EntryGateway(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -36,6 +36,12 @@
      */
     private static final long MAX_BYTES_BESIDE_BODY = 4L << 20;
 
+    /**
+     * Part of the memory for answers that one answer may use. A target that sends a body without
+     * end takes no more than this from the answers to other requests.
+     */
+    private static final double MAX_ANSWER_RATIO = 1.0 / 3;
+
     /** Receives changes of the connection state. */
     interface Pool {
         /** Called when an answer is complete and the connection can be reused. */
@@ -198,9 +204,13 @@
             return false;
         }
         long length = isBodiless(status) ? 0 : HttpUtil.getContentLength(response, -1L);
-        mBody = length > Integer.MAX_VALUE ? null : newCollector((int) length);
+        mBody = length > maxAnswerBytes() ? null : newCollector((int) length);
         if (mBody == null) {
-            fail("the target's answer of " + length + " bytes exceeds the body memory", false);
+            fail(
+                    "the target's answer of "
+                            + length
+                            + " bytes exceeds the limit of an answer or the body memory",
+                    false);
             return false;
         }
         mResponse = response;
@@ -210,10 +220,14 @@
     }
 
     private BodyCollector newCollector(int length) {
-        int limit = length == BodyCollector.UNKNOWN_LENGTH ? Integer.MAX_VALUE : length;
+        int limit = length == BodyCollector.UNKNOWN_LENGTH ? maxAnswerBytes() : length;
         return BodyCollector.of(mMemory, mChannel.alloc(), length, limit);
     }
 
+    private int maxAnswerBytes() {
+        return (int) Math.min(Integer.MAX_VALUE, mMemory.limitBytes() * MAX_ANSWER_RATIO);
+    }
+
     private void copyHeadContentLength(HttpResponse response) {
         String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (isHeadRequest() && length != null) {
@@ -228,7 +242,7 @@
             return;
         }
         if (!mBody.append(content.content())) {
-            fail("the target's answer exceeds the body memory", false);
+            fail("the target's answer exceeds the limit of an answer or the body memory", false);
             return;
         }
         if (!last) {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetEndlessAnswerTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,6 +31,7 @@
     private FakeTarget mTarget;
     private TestFleet.Node mHome;
     private RawCaller mCaller;
+    private InetSocketAddress mCallerAddress;
 
     @BeforeEach
     void start() throws Exception {
@@ -36,7 +40,8 @@
         TestFleet.Node entry = mFleet.add("lookup-1", TestFleet.LOOKUPS, mTarget.address(), memory);
         mHome = mFleet.add("order-1", TestFleet.ORDERS, mTarget.address(), memory);
         mFleet.publish();
-        mCaller = new RawCaller(entry.data().callerAddress());
+        mCallerAddress = entry.data().callerAddress();
+        mCaller = new RawCaller(mCallerAddress);
     }
 
     @AfterEach
@@ -137,6 +142,50 @@
         assertThat(mFleet.onLoop(this::reservedBytes)).isZero();
     }
 
+    /**
+     * Guards against a faulty target that takes the body memory from the other callers: its answers
+     * grow slowly and stay open, one for each slot.
+     */
+    @Test
+    void openEndlessAnswersLeaveMemoryForUploads() throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        int answerBytes = BODY_MEMORY_BYTES / SLOTS - 100;
+        for (int i = 0; i < SLOTS; i++) {
+            RawCaller caller = new RawCaller(mCallerAddress);
+            callers.add(caller);
+            caller.send(request("GET", "/orders/" + i, DEADLINE_MILLISECONDS, ""));
+            FakeTarget.Received received = mTarget.take();
+            received.send(EndlessAnswer.BODY_WITHOUT_LENGTH.start() + "x".repeat(answerBytes));
+        }
+        awaitReserved((SLOTS - 1) * answerBytes);
+        String body = "y".repeat(BODY_MEMORY_BYTES / 8);
+        mCaller.send(request("POST", "/orders/upload", DEADLINE_MILLISECONDS, body));
+        FakeTarget.Received upload = mTarget.take();
+        assertThat(upload.body()).hasSize(body.length());
+        upload.send(EndlessAnswer.COMPLETE_ANSWER);
+        assertThat(mCaller.read().status()).isEqualTo(200);
+        for (RawCaller caller : callers) {
+            caller.close();
+        }
+    }
+
+    /** Guards against one answer without end that fills the memory of all others. */
+    @Test
+    void oneAnswerIsLimitedToAPartOfTheMemory() throws Exception {
+        send(DEADLINE_MILLISECONDS);
+        FakeTarget.Received received = mTarget.take();
+        received.send(
+                EndlessAnswer.BODY_WITHOUT_LENGTH.start() + "x".repeat(BODY_MEMORY_BYTES / 2));
+        assertThat(mCaller.read().headers()).containsEntry("foxtailmoor-error", "OUTCOME_UNKNOWN");
+        assertNextRequestIsAnswered();
+    }
+
+    private void awaitReserved(long bytes) throws Exception {
+        while (mFleet.onLoop(this::reservedBytes) < bytes) {
+            Thread.onSpinWait();
+        }
+    }
+
     private FakeTarget.Received assertNextRequestIsAnswered() throws Exception {
         send(DEADLINE_MILLISECONDS);
         FakeTarget.Received received = mTarget.take();
@@ -150,14 +199,21 @@
     }
 
     private void send(String path, int deadlineMilliseconds) throws Exception {
-        mCaller.send(
-                "GET "
-                        + path
-                        + " HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: "
-                        + EndlessAnswer.REQUEST_ID
-                        + "\r\nFoxtailmoor-Deadline-Milliseconds: "
-                        + deadlineMilliseconds
-                        + "\r\n\r\n");
+        mCaller.send(request("GET", path, deadlineMilliseconds, ""));
+    }
+
+    private static String request(
+            String method, String path, int deadlineMilliseconds, String body) {
+        return method
+                + " "
+                + path
+                + " HTTP/1.1\r\nHost: a\r\nFoxtailmoor-Request-Id: "
+                + EndlessAnswer.REQUEST_ID
+                + "\r\nFoxtailmoor-Deadline-Milliseconds: "
+                + deadlineMilliseconds
+                + (body.isEmpty() ? "" : "\r\nContent-Length: " + body.length())
+                + "\r\n\r\n"
+                + body;
     }
 
     private long reservedBytes() {
