--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -20,6 +20,8 @@
 import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
 import org.foxtailmoor.protocol.generated.ResponseStart;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Entry node's end of a link, a connection to another node that multiplexes requests.
@@ -29,6 +31,8 @@
  * belong to requests that have ended and are discarded.
  */
 final class Link extends SimpleChannelInboundHandler<RequestMessage> {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Link.class);
+
     /** Ping interval; each pong also carries the load of the peer's target. */
     static final long PING_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -319,6 +323,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LinkFailures.log(LOGGER, context.channel(), cause);
         context.close();
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -15,12 +15,16 @@
 import org.foxtailmoor.protocol.generated.CrashExchange;
 import org.foxtailmoor.protocol.generated.RequestMessage;
 import org.foxtailmoor.protocol.generated.RequestStart;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Home node's end of a link: receives requests, submits them to the {@link Home} and sends the
  * answers back. When the link closes, the requests received over it are cancelled.
  */
 final class LinkServerHandler extends SimpleChannelInboundHandler<RequestMessage> {
+    private static final Logger LOGGER = LoggerFactory.getLogger(LinkServerHandler.class);
+
     private static final class Stream {
         private final RequestStart mStart;
         private final long mDeadlineNanoseconds;
@@ -183,6 +187,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LinkFailures.log(LOGGER, context.channel(), cause);
         context.close();
     }
 
