Answer readiness without Jackson's writer

Cause: the first readiness check wrote its JSON with JsonNode.toString, which starts an object mapper with its date formats and resource bundles, about 100 ms in the class load log of a start. Found by sampling the stacks.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/HealthEndpoint.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/admin/HealthEndpoint.java
@@ -1,6 +1,5 @@
 package org.foxtailmoor.node.admin;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -13,26 +12,30 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
 
-    private final String mName;
     private final BooleanSupplier mCondition;
+    private final AdminResponse mHolds;
+    private final AdminResponse mDoesNotHold;
 
     /**
      * Creates the endpoint.
      *
-     * @param name JSON field that states the condition, for example {@code ready}
+     * @param name JSON field that states the condition, for example {@code ready}; letters only
      * @param condition condition to report, safe to evaluate on any thread
      */
     public HealthEndpoint(String name, BooleanSupplier condition) {
-        mName = name;
         mCondition = condition;
+        mHolds = response(STATUS_OK, name, true);
+        mDoesNotHold = response(STATUS_UNAVAILABLE, name, false);
     }
 
     @Override
     public CompletableFuture<AdminResponse> handle(Map<String, List<String>> parameters) {
-        boolean holds = mCondition.getAsBoolean();
-        int status = holds ? STATUS_OK : STATUS_UNAVAILABLE;
-        return CompletableFuture.completedFuture(
-                AdminResponse.json(
-                        status, JsonNodeFactory.instance.objectNode().put(mName, holds)));
+        return CompletableFuture.completedFuture(mCondition.getAsBoolean() ? mHolds : mDoesNotHold);
+    }
+
+    /** Readiness is asked for during the start, in which Jackson's writer costs most. */
+    private static AdminResponse response(int status, String name, boolean holds) {
+        String body = "{\"" + name + "\":" + holds + "}";
+        return new AdminResponse(status, AdminResponse.CONTENT_TYPE_JSON, body);
     }
 }
