Close the connections of a crashed stand-in target after its port

The listener is closed on another event loop, so that a caller whose connection had ended could still connect; with a recovery of 0 ms the port could also stay closed. Change: connections are closed, and the recovery begins, when the listener is closed. Result: TargetServerTest passes; the race is traced by reading, not reproduced.

--- a/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/Target.java
+++ b/foxtailmoor-standins/src/main/java/org/foxtailmoor/standins/target/Target.java
@@ -104,13 +104,20 @@
     /** Closes all connections, ends all work and refuses new connections for the recovery time. */
     void crash() {
         mCrashes++;
-        mServer.stopListening();
         List<TargetWork> lost = new ArrayList<>(mRunning);
         mRunning.clear();
         mQueue.clear();
         lost.forEach(work -> work.abandon(ExecutionLog.Outcome.CRASHED));
-        mServer.closeConnections();
-        mLoop.schedule(mServer::listen, mBehaviour.recoveryMilliseconds(), TimeUnit.MILLISECONDS);
+        // A caller that sees its connection end must not reach the port of the crashed target.
+        mServer.stopListening()
+                .addListener(
+                        closed -> {
+                            mServer.closeConnections();
+                            mLoop.schedule(
+                                    mServer::listen,
+                                    mBehaviour.recoveryMilliseconds(),
+                                    TimeUnit.MILLISECONDS);
+                        });
     }
 
     @Override
