--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -362,7 +362,7 @@
         }
         mReady = true;
         mHome.startServing(mDependencies.policies().newHomeDecisions(mContext, mAdmission));
-        mNodePort.onReady();
+        mNodePort.listen();
     }
 
     /** Returns whether an upstream is this node's own. */
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/NodePort.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/NodePort.java
@@ -52,7 +52,7 @@
     }
 
     /** Starts listening on a configured port; called on the event loop. */
-    void onReady() {
+    void listen() {
         if (mAddress.getPort() != 0 && !mServer.isStopped()) {
             bind().addListener(
                             bound -> {
@@ -65,7 +65,7 @@
 
     private void onFailure(Throwable cause) {
         LOGGER.error("cannot listen on {} = {}: {}", KEY, mAddress.getPort(), cause.toString());
-        mLoop.schedule(this::onReady, BIND_RETRY_MILLISECONDS, TimeUnit.MILLISECONDS);
+        mLoop.schedule(this::listen, BIND_RETRY_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
     private ChannelFuture bind() {
