--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -399,7 +399,8 @@
         }
     }
 
-    private void killNodes() {
+    /** Kills all nodes and waits for their ends. */
+    void killNodes() {
         mNodes.forEach(Process::destroyForcibly);
         for (Process node : mNodes) {
             try {
