Review: show that a crashing request of one caller is never held back

Cause: crashes are counted by method, path and body without the caller, and an answer to another caller's request clears them.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,10 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.."
+# Exits with 1 if the rule was broken, with 0 if it held, with 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
 [ -f target/foxtailmoor-platform.jar ] && [ -d target/review ] || exit 2
-exec timeout -k 5 110 java -XX:TieredStopAtLevel=1 -cp target/review RemovalCase review/3
+timeout -k 5 115 java -XX:TieredStopAtLevel=1 -cp target/review RemovalCase review/3
+case $? in
+  0) exit 0 ;;
+  1) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -433,7 +433,7 @@
 
     private boolean isFree(int base) {
         for (int port = base; port < base + 21; port++) {
-            for (int machine : new int[] {1, 2, 3, 200}) {
+            for (int machine : new int[] {1, 2, 3, 4, 5, 6, 200}) {
                 try (ServerSocket probe = new ServerSocket()) {
                     probe.bind(new InetSocketAddress(InetAddress.getByName(ip(machine)), port));
                 } catch (IOException e) {
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -27,9 +27,9 @@
     final List<Run> runs = new CopyOnWriteArrayList<>();
     private final Semaphore mSlots;
     private final double mWorkSeconds;
-    private final ServerSocket mServer = new ServerSocket();
+    private final InetSocketAddress mAddress;
+    private volatile ServerSocket mServer;
     private final Set<Socket> mOpen = ConcurrentHashMap.newKeySet();
-    private volatile boolean mStopped;
 
     Upstream(Lab lab, String id, String service, int machine, int slots, double workSeconds)
             throws IOException {
@@ -38,14 +38,41 @@
         this.service = service;
         mSlots = new Semaphore(slots, true);
         mWorkSeconds = workSeconds;
-        mServer.setReuseAddress(true);
-        mServer.bind(new InetSocketAddress(InetAddress.getByName(lab.ip(machine)), lab.appPort), 128);
-        Lab.daemon("upstream-" + id, this::accept);
+        mAddress = new InetSocketAddress(InetAddress.getByName(lab.ip(machine)), lab.appPort);
+        listen();
+    }
+
+    private void listen() throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(mAddress, 128);
+        mServer = server;
+        Lab.daemon("upstream-" + id, () -> accept(server));
+    }
+
+    /** Crashes: all connections are reset; the upstream is back after a time. */
+    final void crash(double downSeconds) throws IOException {
+        synchronized (this) {
+            if (mServer.isClosed()) {
+                return;
+            }
+            mServer.close();
+        }
+        for (Socket socket : mOpen) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        Lab.daemon(
+                "upstream-restart-" + id,
+                () -> {
+                    Lab.sleep(downSeconds);
+                    listen();
+                    lab.record("upstream " + id + " is back");
+                });
     }
 
     /** Ends the upstream: its connections are closed. */
     void stop() throws IOException {
-        mStopped = true;
         mServer.close();
         for (Socket socket : mOpen) {
             socket.close();
@@ -53,11 +80,11 @@
         lab.record("upstream " + id + " has exited");
     }
 
-    private void accept() throws IOException {
-        while (!mStopped) {
+    private void accept(ServerSocket server) throws IOException {
+        while (true) {
             Socket socket;
             try {
-                socket = mServer.accept();
+                socket = server.accept();
             } catch (IOException e) {
                 return;
             }
