Match a prefix with a last slash only by paths that begin with it

Cause: RouteTree dropped empty segments, so that the prefixes /a and /a/ ended in one node, which also matched a path that ends there; //, and prefixes with an empty segment, matched too much in the same way.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RoutingSnapshot.java
@@ -111,8 +111,10 @@
     }
 
     /**
-     * Returns the route of a request, or null if none matches. The longest prefix wins, by whole
-     * segments; a method takes precedence over {@code *} on the same prefix.
+     * Returns the route of a request, or null if none matches. The longest prefix wins; a method
+     * takes precedence over {@code *} on the same prefix. A prefix with a last slash matches the
+     * paths that begin with it, one without it the path that equals it and those that go on with a
+     * slash.
      *
      * @param method HTTP method, not null
      * @param path request path, not null; a query after {@code ?} is ignored
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingSnapshotTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/RoutingSnapshotTest.java
@@ -15,6 +15,8 @@
 import org.foxtailmoor.protocol.generated.ServiceEntry;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
 
 class RoutingSnapshotTest {
     private static String routeId(RoutingSnapshot snapshot, String method, String path) {
@@ -51,6 +53,21 @@
         }
     }
 
+    /** Guards against a request that runs at the service of a prefix that its path lacks. */
+    @ParameterizedTest
+    @CsvFileSource(
+            resources = "/path-prefixes.csv",
+            delimiter = '|',
+            numLinesToSkip = 1,
+            nullValues = "none")
+    void longestPrefixThatBeginsThePathWins(String prefixes, String path, String expected) {
+        RoutingSnapshotBuilder builder = new RoutingSnapshotBuilder().service("s", 4);
+        for (String prefix : prefixes.split(" ")) {
+            builder.route(prefix, "s", "*", prefix, true);
+        }
+        assertThat(routeId(builder.build(1, 1), "GET", path)).isEqualTo(expected);
+    }
+
     @Nested
     class MissingReferences {
         /** Invariant 2; also, an order must not reach the service of a shorter prefix. */
