Count crashes by caller, so that answers to others do not clear them

Cause: the fingerprint by which crashes are counted was made of method, path and body. An answer to any caller cleared the crashes of all of them, and kept the next crash from being counted for 30 s. Change: crashes are counted for the content with host and calling service. Idempotency keys still compare the content alone. CrashGuard had the same cause: it now counts for the content and for the content with the caller, and refuses answered content only for the callers that reached the limit; a status of 500 or more no longer clears a suspect there either.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashGuard.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashGuard.java
@@ -21,13 +21,19 @@
  * crashes must have occurred while it was the only suspect in flight: a frequent request is in
  * flight at every crash, and would otherwise be poisoned in place of the request that causes the
  * crashes.
+ *
+ * <p>Crashes are counted for the content of a request and for the content together with the caller.
+ * A caller may use any node, so that the service of the entry node alone does not identify it: a
+ * request that is poisoned by its content is refused for all callers, unless this node's target has
+ * answered it to one of them. It then only runs in isolation for callers whose own crashes have not
+ * reached the limit.
  */
 public final class CrashGuard {
     /** Duration for which a crash counts, and for which a fingerprint stays poisoned. */
     public static final long CRASH_RETENTION_NANOSECONDS = TimeUnit.MINUTES.toNanos(10);
 
     /** Maximum number of local reports sent at once. */
-    public static final int REPORT_LIMIT = 16;
+    public static final int REPORT_LIMIT = 32;
 
     /** Maximum number of tracked fingerprints; the least recently changed one is evicted first. */
     public static final int FINGERPRINT_LIMIT = 1_000;
@@ -53,9 +59,11 @@
     private final String mServiceId;
     private final String mInstanceId;
     private final Map<Fingerprint, CrashRecord> mRecords = new HashMap<>();
+    private final AnsweredFingerprints mAnswered;
 
     private CrashGuard(Ticker ticker, String serviceId, String instanceId) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
+        mAnswered = new AnsweredFingerprints(ticker);
         mServiceId = Objects.requireNonNull(serviceId, "serviceId");
         mInstanceId = Objects.requireNonNull(instanceId, "instanceId");
     }
@@ -71,6 +79,24 @@
         return new CrashGuard(ticker, serviceId, instanceId);
     }
 
+    /**
+     * Returns the status of a request.
+     *
+     * @param content fingerprint of the content, not null
+     * @param withCaller fingerprint of the content and the caller, not null
+     * @param crashLimit crash limit of the service; less than 1 counts as 1
+     */
+    public Status status(Fingerprint content, Fingerprint withCaller, int crashLimit) {
+        Status ofContent = status(content, crashLimit);
+        Status ofCaller = status(withCaller, crashLimit);
+        boolean dependsOnCaller = mAnswered.wasAnsweredWithin(content, CRASH_RETENTION_NANOSECONDS);
+        if (ofCaller == Status.POISONED || ofContent == Status.POISONED && !dependsOnCaller) {
+            return Status.POISONED;
+        }
+        boolean clear = ofCaller == Status.CLEAR && ofContent == Status.CLEAR;
+        return clear ? Status.CLEAR : Status.SUSPECT;
+    }
+
     /**
      * Returns the status of a fingerprint.
      *
@@ -108,7 +134,16 @@
         markChangedLocally(record);
     }
 
-    /** Clears a fingerprint whose request has completed in isolation. */
+    /**
+     * Records that this node's target has answered a request, in isolation or not.
+     *
+     * @param content fingerprint of the content, not null
+     */
+    public void answered(Fingerprint content) {
+        mAnswered.add(content);
+    }
+
+    /** Clears a fingerprint whose request has been answered in isolation. */
     public void completedInIsolation(Fingerprint fingerprint) {
         CrashRecord record = mRecords.get(fingerprint);
         if (record != null && record.crashes() > 0) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/CrashTable.java
@@ -21,6 +21,9 @@
  * Crash counts of request fingerprints, replicated among the nodes of one service. Not thread-safe;
  * used only on the data loop.
  *
+ * <p>The fingerprints depend on the caller: a request that crashes targets comes again from the
+ * same caller, and answers to the same request of other callers say nothing about it.
+ *
  * <p>A crash of the target is counted for the requests that were in flight, except those whose
  * fingerprint was answered recently: a request that crashes its targets is never answered. If
  * exactly one of them was a suspect already, it is counted for that one only. An answer clears all
@@ -48,9 +51,6 @@
     /** Maximum number of reporters whose counts are kept for one fingerprint. */
     public static final int REPORTER_LIMIT = 16;
 
-    /** Maximum number of fingerprints that are remembered as answered. */
-    private static final int ANSWERED_LIMIT = 4_096;
-
     /** Duration for which an answered fingerprint is not suspected. */
     private static final long ANSWERED_RETENTION_NANOSECONDS = TimeUnit.SECONDS.toNanos(30);
 
@@ -105,16 +105,11 @@
     private final Reporter mSelf;
     private final Listener mListener;
     private final Map<Fingerprint, Map<Reporter, Counts>> mRecords = new HashMap<>();
-    private final Map<Fingerprint, Long> mAnswered =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Fingerprint, Long> eldest) {
-                    return size() > ANSWERED_LIMIT;
-                }
-            };
+    private final AnsweredFingerprints mAnswered;
 
     private CrashTable(Ticker ticker, Reporter self, Listener listener) {
         mTicker = Objects.requireNonNull(ticker, "ticker");
+        mAnswered = new AnsweredFingerprints(ticker);
         mSelf = self;
         mListener = Objects.requireNonNull(listener, "listener");
     }
@@ -202,8 +197,7 @@
 
     /** Records a complete answer of this node's target, which clears the known crashes. */
     public void answered(Fingerprint fingerprint) {
-        mAnswered.remove(fingerprint);
-        mAnswered.put(fingerprint, mTicker.nanoTime());
+        mAnswered.add(fingerprint);
         Map<Reporter, Counts> record = mRecords.get(fingerprint);
         if (record == null || crashes(record) == 0) {
             return;
@@ -338,8 +332,7 @@
     }
 
     private boolean wasAnswered(Fingerprint fingerprint) {
-        Long answered = mAnswered.get(fingerprint);
-        return answered != null && mTicker.nanoTime() - answered < ANSWERED_RETENTION_NANOSECONDS;
+        return mAnswered.wasAnsweredWithin(fingerprint, ANSWERED_RETENTION_NANOSECONDS);
     }
 
     private void notifyStatus(Fingerprint fingerprint, Status before) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/Fingerprint.java
@@ -4,10 +4,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
+import java.util.Locale;
 import net.openhft.hashing.LongTupleHashFunction;
 
 /**
- * 128-bit hash of the method, path and body of a request, used to recognise repeats of it.
+ * 128-bit hash of the fields of a request by which its repeats are recognised.
  *
  * @param high first 8 bytes
  * @param low last 8 bytes
@@ -20,7 +21,7 @@
     private static final LongTupleHashFunction HASH = LongTupleHashFunction.xx128();
 
     /**
-     * Returns the fingerprint of a request.
+     * Returns the fingerprint of the content of a request: of its method, path and body.
      *
      * @param method HTTP method, not null
      * @param path path with query, not null
@@ -31,7 +32,7 @@
     }
 
     /**
-     * Returns the fingerprint of a request whose body may be off the heap.
+     * Returns the fingerprint of the content of a request whose body may be off the heap.
      *
      * @param method HTTP method, not null
      * @param path path with query, not null
@@ -55,6 +56,24 @@
         return new Fingerprint(hash[0], hash[1]);
     }
 
+    /**
+     * Returns a fingerprint that also depends on where a request comes from and goes to. Requests
+     * with the same content but of another caller may have another effect on a target.
+     *
+     * @param host requested host in any case, empty if unknown, not null
+     * @param callerService service of the instance where the request originated, empty if unknown,
+     *     not null
+     */
+    public Fingerprint withOrigin(String host, String callerService) {
+        byte[] origin =
+                (host.toLowerCase(Locale.ROOT) + '\n' + callerService)
+                        .getBytes(StandardCharsets.UTF_8);
+        ByteBuffer hashed = ByteBuffer.allocate(BYTES + origin.length);
+        hashed.putLong(high).putLong(low).put(origin);
+        long[] hash = HASH.hashBytes(hashed.array());
+        return new Fingerprint(hash[0], hash[1]);
+    }
+
     /** Parses the binary representation; returns null if its length is not {@link #BYTES}. */
     public static Fingerprint of(ByteString bytes) {
         if (bytes.size() != BYTES) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
@@ -16,9 +16,20 @@
     /** Returns the idempotency key, or null if the request has none. Must not change. */
     IdempotencyKey key();
 
-    /** Returns the fingerprint, never null. Must not change. */
+    /**
+     * Returns the fingerprint of the content, by which repeats with one idempotency key are
+     * compared, never null. Must not change. Does not depend on the entry node, because a caller
+     * may repeat a request at another one.
+     */
     Fingerprint fingerprint();
 
+    /**
+     * Returns the fingerprint by which crashes are counted, never null. Must not change. Depends on
+     * the caller, because a request of one caller may crash targets that answer the same request of
+     * others.
+     */
+    Fingerprint crashFingerprint();
+
     /** Returns the deadline as a ticker time. Must not change. */
     long deadlineNanoseconds();
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -156,8 +156,8 @@
         if (request.key() != null) {
             mKeys.finish(request.key(), answer);
         }
-        if (pending.mIsolated) {
-            mGuard.completedInIsolation(request.fingerprint());
+        if (!answer.isServerError()) {
+            recordAnswered(pending);
         }
         mLimits.release(request.route(), true);
         for (HomeRequest joined : pending.mJoined) {
@@ -210,6 +210,7 @@
             PendingRequest pending = mPending.get(request);
             boolean onlySuspect = requests.size() == 1 || pending != null && pending.mIsolated;
             mGuard.crashed(request.fingerprint(), onlySuspect);
+            mGuard.crashed(request.crashFingerprint(), onlySuspect);
         }
         for (HomeRequest request : requests) {
             failed(request, ErrorKind.UPSTREAM_FAILED);
@@ -263,7 +264,7 @@
 
     CrashGuard.Status crashStatus(HomeRequest request) {
         int limit = mService == null ? 1 : mService.definition().body().getCrashLimit();
-        return mGuard.status(request.fingerprint(), limit);
+        return mGuard.status(request.fingerprint(), request.crashFingerprint(), limit);
     }
 
     /** Dispatches a request that got a slot, if the conditions of dispatch still hold. */
@@ -293,6 +294,15 @@
         }
     }
 
+    private void recordAnswered(PendingRequest pending) {
+        HomeRequest request = pending.mRequest;
+        mGuard.answered(request.fingerprint());
+        if (pending.mIsolated) {
+            mGuard.completedInIsolation(request.fingerprint());
+            mGuard.completedInIsolation(request.crashFingerprint());
+        }
+    }
+
     /**
      * Returns the number of nodes among which the limit of a route is divided. Requests of a route
      * that requires keys only reach the home region, so dividing the limit over all regions would
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -30,8 +30,6 @@
     /** Maximum number of suspects that wait until another one has ended. */
     static final int HELD_SUSPECT_LIMIT = 4;
 
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
-
     private final Ticker mTicker;
     private final DeadlineAdmission mAdmission;
     private final CrashTable mCrashes;
@@ -127,10 +125,9 @@
 
     @Override
     public void completed(HomeRequest request, StoredAnswer answer) {
-        boolean failed = answer.status() >= MIN_SERVER_ERROR_STATUS;
-        // A failing target may answer before it reaches the code that crashes.
+        boolean failed = answer.isServerError();
         if (mPending.containsKey(request) && !failed) {
-            mCrashes.answered(request.fingerprint());
+            mCrashes.answered(request.crashFingerprint());
         }
         end(request, failed);
     }
@@ -163,7 +160,7 @@
     public void crashed(Collection<? extends HomeRequest> requests) {
         List<HomeRequest> all = new ArrayList<>(requests);
         // Counted before the requests end, so that their repeats are suspected elsewhere.
-        mCrashes.crashed(all.stream().map(HomeRequest::fingerprint).toList());
+        mCrashes.crashed(all.stream().map(HomeRequest::crashFingerprint).toList());
         all.forEach(request -> failed(request, ErrorKind.UPSTREAM_FAILED));
     }
 
@@ -207,11 +204,11 @@
     }
 
     private boolean isPoisoned(HomeRequest request) {
-        return mCrashes.status(request.fingerprint()) == CrashGuard.Status.POISONED;
+        return mCrashes.status(request.crashFingerprint()) == CrashGuard.Status.POISONED;
     }
 
     private boolean isSuspect(HomeRequest request) {
-        return mCrashes.status(request.fingerprint()) == CrashGuard.Status.SUSPECT;
+        return mCrashes.status(request.crashFingerprint()) == CrashGuard.Status.SUSPECT;
     }
 
     private boolean isSuspectRunning() {
@@ -228,7 +225,7 @@
     /** Returns whether a request may run now; if not, refuses or holds it. */
     private boolean mayStart(SlotRequest pending) {
         if (isPoisoned(pending.mRequest)) {
-            long remaining = mCrashes.remainingNanoseconds(pending.mRequest.fingerprint());
+            long remaining = mCrashes.remainingNanoseconds(pending.mRequest.crashFingerprint());
             pending.refuse(ErrorKind.QUARANTINED, (int) TimeUnit.NANOSECONDS.toMillis(remaining));
             return false;
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/StoredAnswer.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/StoredAnswer.java
@@ -13,6 +13,7 @@
  */
 public record StoredAnswer(int status, List<Header> headers, byte[] body) {
     private static final int HEADER_OVERHEAD_BYTES = 32;
+    private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     /** Copies the headers and rejects null. */
     public StoredAnswer {
@@ -20,6 +21,13 @@
         Objects.requireNonNull(body, "body");
     }
 
+    /**
+     * Returns whether the target has failed. It may have done so before the code that crashes it.
+     */
+    boolean isServerError() {
+        return status >= MIN_SERVER_ERROR_STATUS;
+    }
+
     /** Returns the approximate size of the answer in bytes. */
     public int sizeBytes() {
         int size = body.length;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashGuardTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashGuardTest.java
@@ -57,6 +57,28 @@
         assertThat(mFirst.status(CRASHING, 2)).isEqualTo(Status.POISONED);
     }
 
+    /** Guards against a caller that gets the same request of all others refused. */
+    @Test
+    void answeredContentIsOnlyRefusedForTheCallerThatCrashes() {
+        Fingerprint desk = CRASHING.withOrigin("", "desk");
+        Fingerprint rack = CRASHING.withOrigin("", "rack");
+        mFirst.answered(CRASHING);
+        for (int i = 0; i < 2; i++) {
+            mFirst.crashed(CRASHING, true);
+            mFirst.crashed(desk, true);
+        }
+        exchange();
+        assertThat(mFirst.status(CRASHING, desk, 2)).isEqualTo(Status.POISONED);
+        assertThat(mFirst.status(CRASHING, rack, 2)).isEqualTo(Status.SUSPECT);
+        assertThat(mSecond.status(CRASHING, rack, 2))
+                .as("never answered")
+                .isEqualTo(Status.POISONED);
+        mFirst.completedInIsolation(CRASHING);
+        exchange();
+        assertThat(mSecond.status(CRASHING, rack, 2)).isEqualTo(Status.CLEAR);
+        assertThat(mSecond.status(CRASHING, desk, 2)).isEqualTo(Status.POISONED);
+    }
+
     @Test
     void poisoningExpiresAfterTenMinutesDespiteLateReports() {
         mFirst.crashed(CRASHING, true);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/FingerprintTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/FingerprintTest.java
@@ -22,6 +22,21 @@
                 .isEqualTo(Fingerprint.of("POST", "/orders", BODY));
     }
 
+    /** Guards against answers to one caller that clear the crashes of another one. */
+    @Test
+    void fingerprintWithOriginDependsOnHostAndCaller() {
+        Fingerprint content = Fingerprint.of("POST", "/orders", BODY);
+        Fingerprint fingerprint = content.withOrigin("mesh.example", "desk");
+        assertThat(content.withOrigin("Mesh.Example", "desk")).isEqualTo(fingerprint);
+        assertThat(fingerprint)
+                .isNotIn(
+                        content,
+                        content.withOrigin("mesh.example", "rack"),
+                        content.withOrigin("other.example", "desk"),
+                        content.withOrigin("", "mesh.example\ndesk"),
+                        Fingerprint.of("PUT", "/orders", BODY).withOrigin("mesh.example", "desk"));
+    }
+
     @Test
     void fingerprintDependsOnMethodPathAndBody() {
         Fingerprint fingerprint = Fingerprint.of("POST", "/orders", BODY);
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
@@ -69,7 +69,10 @@
     }
 
     private Call accept(String route, IdempotencyKey key, long body) {
-        Call call = new Call(mSnapshot.routeById(route), key, new Fingerprint(0, body));
+        return accept(new Call(mSnapshot.routeById(route), key, new Fingerprint(0, body)));
+    }
+
+    private Call accept(Call call) {
         mHome.accept(call);
         return call;
     }
@@ -79,6 +82,7 @@
         private final IdempotencyKey mKey;
         private final Fingerprint mFingerprint;
         private final long mDeadline = mTicker.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        private String mCaller = "rack";
         private StoredAnswer mAnswer;
         private ErrorKind mRefusal;
 
@@ -88,6 +92,11 @@
             mFingerprint = fingerprint;
         }
 
+        private Call from(String caller) {
+            mCaller = caller;
+            return this;
+        }
+
         private boolean isDispatched() {
             return mDispatched.contains(this);
         }
@@ -107,6 +116,11 @@
             return mFingerprint;
         }
 
+        @Override
+        public Fingerprint crashFingerprint() {
+            return mFingerprint.withOrigin("", mCaller);
+        }
+
         @Override
         public long deadlineNanoseconds() {
             return mDeadline;
@@ -251,6 +265,42 @@
             assertThat(mGuard.status(unrelated.mFingerprint, 2)).isEqualTo(CrashGuard.Status.CLEAR);
             assertThat(mHome.isIdle()).isTrue();
         }
+
+        private Call acceptFrom(String caller) {
+            Fingerprint fingerprint = new Fingerprint(0, CRASHING_BODY);
+            return accept(new Call(mSnapshot.routeById("read"), null, fingerprint).from(caller));
+        }
+
+        /**
+         * Guards against answers to other callers that clear a request which crashes its targets.
+         */
+        @Test
+        void sameRequestOfAnotherCallerNeitherClearsACrashingOneNorIsRefusedForIt() {
+            mHome.completed(acceptFrom("intake"), ANSWER);
+            int crashes = 0;
+            for (int round = 0; round < 6; round++) {
+                Call bad = acceptFrom("desk");
+                if (bad.isDispatched()) {
+                    crashes++;
+                    mHome.crashed(List.of(bad));
+                } else {
+                    assertThat(bad.mRefusal).isEqualTo(ErrorKind.POISONED);
+                }
+                Call good = acceptFrom("intake");
+                assertThat(good.isDispatched()).isTrue();
+                mHome.completed(good, ANSWER);
+            }
+            assertThat(crashes).isEqualTo(2);
+        }
+
+        /** Guards against a failing target whose 500 lets a crashing request run again. */
+        @Test
+        void failedAnswerDoesNotClearASuspect() {
+            mHome.crashed(List.of(acceptFrom("desk")));
+            Call failed = acceptFrom("desk");
+            mHome.completed(failed, new StoredAnswer(500, List.of(), new byte[0]));
+            assertThat(mHome.crashStatus(failed)).isEqualTo(CrashGuard.Status.SUSPECT);
+        }
     }
 
     @Test
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SimulatedHome.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SimulatedHome.java
@@ -136,6 +136,11 @@
             return new Fingerprint(mKey.createdMilliseconds(), mKey.text().hashCode());
         }
 
+        @Override
+        public Fingerprint crashFingerprint() {
+            return fingerprint().withOrigin("", "caller");
+        }
+
         @Override
         public long deadlineNanoseconds() {
             return mDeadline;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
@@ -67,6 +67,11 @@
 
         @Override
         public Fingerprint fingerprint() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Fingerprint crashFingerprint() {
             return mFingerprint;
         }
 
@@ -285,6 +290,41 @@
             assertThat(mCrashes.status(common)).isEqualTo(CrashGuard.Status.CLEAR);
         }
 
+        /** Guards against a crash that is attributed to the same request of other callers. */
+        @Test
+        void onlyTheCallerWhoseRequestCrashesTargetsIsRefused() {
+            Fingerprint content = new Fingerprint(4, 0);
+            Fingerprint crashing = content.withOrigin("mesh", "desk");
+            List<Fingerprint> others =
+                    List.of(
+                            content.withOrigin("mesh", "intake"),
+                            content.withOrigin("mesh", "rack"),
+                            content.withOrigin("other", "desk"));
+            publishSlots(12);
+            int crashes = 0;
+            for (int round = 0; round < 10; round++) {
+                List<TestRequest> inFlight = new ArrayList<>();
+                others.forEach(other -> inFlight.add(accept(other)));
+                others.forEach(other -> inFlight.add(accept(other)));
+                TestRequest bad = accept(crashing);
+                inFlight.removeIf(request -> !request.mDispatched);
+                if (bad.mDispatched) {
+                    crashes++;
+                    inFlight.add(bad);
+                    mRequests.crashed(inFlight);
+                } else {
+                    assertThat(bad.mRefusal).isEqualTo(ErrorKind.QUARANTINED);
+                    inFlight.forEach(request -> mRequests.completed(request, answer()));
+                }
+                for (Fingerprint other : others) {
+                    TestRequest later = accept(other);
+                    assertThat(later.mDispatched).isTrue();
+                    mRequests.completed(later, answer());
+                }
+            }
+            assertThat(crashes).isBetween(1, 3);
+        }
+
         /** Guards against a second crash that cannot be attributed to one suspect. */
         @Test
         void suspectsRunOneAtATimeBesideOtherRequests() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -214,6 +214,10 @@
         return mDependencies.crashes().counts(fingerprint);
     }
 
+    HeaderNames headers() {
+        return mDependencies.headers();
+    }
+
     Ticker ticker() {
         return mDependencies.ticker();
     }
@@ -245,7 +249,7 @@
                     .crashed(
                             task.start(),
                             mDependencies.headers(),
-                            task.fingerprint(),
+                            task.crashFingerprint(),
                             crashed.size());
         }
         mDecisions.crashed(crashed);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
@@ -23,6 +24,7 @@
     private final Route mRoute;
     private final IdempotencyKey mKey;
     private final Fingerprint mFingerprint;
+    private final Fingerprint mCrashFingerprint;
     private final Hop mHop;
     private final long mStartedNanoseconds;
     private OutcomeListener mListener;
@@ -50,6 +52,10 @@
                         call.start().getMethod(),
                         call.start().getPath(),
                         call.body().content().nioBuffer());
+        mCrashFingerprint =
+                mFingerprint.withOrigin(
+                        findHeader(HttpHeaderNames.HOST),
+                        findHeader(home.headers().callerService()));
     }
 
     @Override
@@ -67,6 +73,11 @@
         return mFingerprint;
     }
 
+    @Override
+    public Fingerprint crashFingerprint() {
+        return mCrashFingerprint;
+    }
+
     @Override
     public long deadlineNanoseconds() {
         return mCall.deadlineNanoseconds();
@@ -215,10 +226,10 @@
         boolean explained = mLastFailure != null && mLastFailure.kind() == kind;
         String message = explained ? mLastFailure.message() : ErrorMessages.of(kind);
         if (kind == ErrorKind.QUARANTINED) {
-            message += ", fingerprint " + mFingerprint.toHex();
+            message += ", fingerprint " + mCrashFingerprint.toHex();
         }
         return new Outcome.Failure(
-                kind, message, retryAfterMilliseconds, mHome.crashCounts(mFingerprint));
+                kind, message, retryAfterMilliseconds, mHome.crashCounts(mCrashFingerprint));
     }
 
     private void end(Outcome outcome) {
@@ -244,6 +255,11 @@
         }
     }
 
+    private String findHeader(CharSequence name) {
+        String value = HeaderFields.find(mCall.start().getHeadersList(), name);
+        return value == null ? "" : value;
+    }
+
     private static byte[] copyBytes(BufferedBody body) {
         return body.length() == 0 ? EMPTY_BYTES : ByteBufUtil.getBytes(body.content());
     }
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
@@ -26,6 +26,7 @@
     /** Time in which all nodes have to know a request that crashed three targets. */
     private static final long STABILITY_MILLISECONDS = 4_000;
 
+    private volatile String mCallerService = TestFleet.ORDERS;
     private TestFleet mFleet = newFleet();
     private final List<FakeTarget> mTargets = new ArrayList<>();
     private TestFleet.Node mEntry;
@@ -47,9 +48,9 @@
         }
     }
 
-    private static TestFleet newFleet() {
+    private TestFleet newFleet() {
         return new TestFleet(
-                new PlacementPolicies(HeaderNames.DEFAULT, () -> TestFleet.ORDERS, 1, 100));
+                new PlacementPolicies(HeaderNames.DEFAULT, () -> mCallerService, 1, 100));
     }
 
     private FakeTarget newTarget() throws Exception {
@@ -88,6 +89,25 @@
         assertThat(mFleet.get(mEntry, "/racks/other").get().statusCode()).isEqualTo(200);
     }
 
+    private HttpResponse<String> send(String callerService, String path) throws Exception {
+        mCallerService = callerService;
+        return mFleet.get(mEntry, path).get();
+    }
+
+    /** Guards against answers to other callers that clear a request which crashes its targets. */
+    @Test
+    void sameRequestOfAnotherCallerNeitherClearsACrashingOneNorIsRefusedForIt() throws Exception {
+        mTargets.forEach(target -> target.crashForCaller("desk"));
+        for (int i = 0; i < 40; i++) {
+            assertThat(send("intake", CRASHING).statusCode()).isEqualTo(200);
+            send("desk", CRASHING);
+        }
+        assertThat(crashes()).isBetween(2, 3);
+        assertThat(send("desk", CRASHING).headers().firstValue("foxtailmoor-error"))
+                .contains("QUARANTINED");
+        assertThat(send("intake", CRASHING).statusCode()).isEqualTo(200);
+    }
+
     /** Guards against refusing requests that were in flight beside the crashing one. */
     @Test
     void requestsInFlightBesideACrashAreServedAfterwards() throws Exception {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -95,6 +95,7 @@
     private final AtomicInteger mCrashes = new AtomicInteger();
     private volatile boolean mEchoPaths;
     private volatile String mCrashPath;
+    private volatile String mCrashCaller;
 
     FakeTarget() throws IOException {
         this(0);
@@ -117,6 +118,12 @@
         return this;
     }
 
+    /** Limits the crashes to requests of one caller service. */
+    FakeTarget crashForCaller(String callerService) {
+        mCrashCaller = callerService;
+        return this;
+    }
+
     /** Returns the number of crashes. */
     int crashes() {
         return mCrashes.get();
@@ -179,7 +186,7 @@
             InputStream input = socket.getInputStream();
             Received received = read(input, socket);
             while (received != null) {
-                if (received.path().equals(mCrashPath)) {
+                if (isCrashing(received)) {
                     crash();
                 } else if (mEchoPaths) {
                     received.answer(200, received.path());
@@ -195,6 +202,12 @@
         mConnectionClosed.complete(null);
     }
 
+    private boolean isCrashing(Received received) {
+        String caller = received.headers().get("foxtailmoor-caller-service");
+        return received.path().equals(mCrashPath)
+                && (mCrashCaller == null || mCrashCaller.equals(caller));
+    }
+
     private static Received read(InputStream input, Socket socket) throws IOException {
         HttpText text = HttpText.read(input, false);
         if (text == null) {
--- a/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/requests/HomeSteps.java
+++ b/foxtailmoor-scenarios/src/test/java/org/foxtailmoor/scenarios/requests/HomeSteps.java
@@ -198,6 +198,11 @@
             return new Fingerprint(1, mKey == null ? System.identityHashCode(this) : 2);
         }
 
+        @Override
+        public Fingerprint crashFingerprint() {
+            return fingerprint().withOrigin("", "caller");
+        }
+
         @Override
         public long deadlineNanoseconds() {
             return mDeadline;
