Refuse what waits at a home whose target was removed from the list

Cause: SlotRequests emptied its queue only if the list had the own target and marked it as leaving. A list without the target was treated like that of a node that has just started. Change: a home whose target was listed and no longer is refuses as LEAVING, not run, the queue, held suspects, arriving bodies and new requests, until the target is listed again. Requests that name an earlier target at the address are refused instead of being sent to the later one, and requests that wait for a connection are checked again before they are written. HomeRequests, which takes the requests with idempotency keys, had no such step and has it now. Entries that lapse while the store is away stay in the list until after its return, as before. Evidence: the node's log of the case has "instance ... is gone" about 1 s after the removal and no refusal after it.

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeDecisions.java
@@ -12,7 +12,8 @@
  */
 public interface HomeDecisions {
     /**
-     * Applies a new routing snapshot. Must be called before the first request.
+     * Applies a new routing snapshot. Must be called before the first request. Queued requests are
+     * refused if the list had the target and no longer has it.
      *
      * @param snapshot snapshot in force, not null
      * @param serviceId id of the service of this node's target, not null
@@ -79,6 +80,12 @@
     /** Refuses new requests as LEAVING from now on. */
     void leave();
 
+    /**
+     * Returns whether the target gets no new requests because the instance list marks it as leaving
+     * or no longer has it.
+     */
+    boolean isTargetLeaving();
+
     /** Returns whether no request is running or queued. */
     boolean isIdle();
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequest.java
@@ -30,6 +30,14 @@
      */
     Fingerprint crashFingerprint();
 
+    /**
+     * Returns the id of the target that the entry node chose, empty if every target may run the
+     * request. Must not change.
+     */
+    default String instanceId() {
+        return "";
+    }
+
     /** Returns the deadline as a ticker time. Must not change. */
     long deadlineNanoseconds();
 
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -39,6 +39,8 @@
     private RoutingSnapshot mSnapshot;
     private String mServiceId;
     private ServiceView mService;
+    private boolean mTargetListed;
+    private boolean mTargetRemoved;
     private boolean mLeaving;
 
     private HomeRequests(
@@ -76,7 +78,10 @@
         return new HomeRequests(ticker, admission, limits, keys, terms, guard);
     }
 
-    /** Applies a new routing snapshot. If it lacks the service, this node is the home of no key. */
+    /**
+     * Applies a new routing snapshot. If it lacks the service, this node is the home of no key. If
+     * the service no longer has this instance, queued requests are refused.
+     */
     @Override
     public void update(RoutingSnapshot snapshot, String serviceId) {
         mSnapshot = snapshot;
@@ -87,6 +92,14 @@
         if (mService != null && mService.definition().body().getSlots() > 0) {
             mAdmission.resize(mService.definition().body().getSlots());
         }
+        if (mService != null) {
+            boolean wasListed = mTargetListed;
+            mTargetListed = mService.upstream(mTerms.instanceId()) != null;
+            mTargetRemoved = !mTargetListed && (wasListed || mTargetRemoved);
+        }
+        if (mTargetRemoved) {
+            refuseQueued();
+        }
     }
 
     @Override
@@ -107,7 +120,8 @@
         if (keyed && IdempotencyKey.parse(start.getIdempotencyKey()) == null) {
             return ErrorKind.KEY_INVALID;
         }
-        return null;
+        // The outcome of a known idempotency key is available without the target.
+        return mTargetRemoved && !keyed ? ErrorKind.LEAVING : null;
     }
 
     @Override
@@ -242,6 +256,12 @@
         mAdmission.leave();
     }
 
+    /** A target that is marked as leaving makes the whole node leave, which {@link #leave} does. */
+    @Override
+    public boolean isTargetLeaving() {
+        return mTargetRemoved;
+    }
+
     @Override
     public boolean isIdle() {
         return mPending.isEmpty();
@@ -294,6 +314,16 @@
         }
     }
 
+    private void refuseQueued() {
+        for (PendingRequest pending : List.copyOf(mPending.values())) {
+            // Cancelling one request can start the next one, which is then refused at dispatch.
+            if (!pending.mDispatched && mPending.get(pending.mRequest) == pending) {
+                mAdmission.cancel(pending);
+                endNotRun(pending, ErrorKind.LEAVING, 0);
+            }
+        }
+    }
+
     private void recordAnswered(PendingRequest pending) {
         HomeRequest request = pending.mRequest;
         mGuard.answered(request.fingerprint());
@@ -324,6 +354,9 @@
     }
 
     private ErrorKind dispatchRefusalReason(HomeRequest request) {
+        if (mTargetRemoved) {
+            return ErrorKind.LEAVING;
+        }
         if (crashStatus(request) == CrashGuard.Status.POISONED) {
             return ErrorKind.POISONED;
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeTerms.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeTerms.java
@@ -69,6 +69,11 @@
         return new HomeTerms(clock, instanceId, lease);
     }
 
+    /** Returns the id of this instance. */
+    String instanceId() {
+        return mInstanceId;
+    }
+
     /** Records that the process has just become ready. */
     public void ready() {
         mReadyMilliseconds = mClock.milliseconds();
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/SlotRequests.java
@@ -39,6 +39,7 @@
     private final ArrayDeque<SlotRequest> mHeldSuspects = new ArrayDeque<>();
     private String mServiceId = "";
     private Upstream mOwnUpstream;
+    private boolean mTargetRemoved;
     private boolean mLeaving;
 
     private SlotRequests(
@@ -74,35 +75,38 @@
 
     /**
      * Applies the number of slots of the target. If the instance list says that the target is
-     * leaving, queued requests are refused, so that the entry nodes place them elsewhere
-     * immediately.
+     * leaving, no longer has it or has another one at this node, requests that wait for it are
+     * refused, so that the entry nodes place them elsewhere immediately.
+     *
+     * <p>Entries that expire while the store is unavailable stay in the list until their targets
+     * have had time to write them again.
      */
     @Override
     public void update(RoutingSnapshot snapshot, String serviceId) {
+        boolean wasListed = mOwnUpstream != null;
         mServiceId = serviceId;
         mOwnUpstream = snapshot.upstreamAt(mAddress, mNodePort);
+        mTargetRemoved = mOwnUpstream == null && (wasListed || mTargetRemoved);
         if (mOwnUpstream != null && mOwnUpstream.slots() > 0) {
             mAdmission.resize(mOwnUpstream.slots());
         }
         if (isTargetLeaving()) {
             mAdmission.refuseQueued(ErrorKind.LEAVING);
             refuseHeld();
+        } else {
+            refuseWaitingForOtherTargets();
         }
     }
 
     /**
      * Refuses a request that is addressed to a different target than the one that the instance list
-     * has at this node, and any request while the target or this node is leaving. While the list
-     * has no target at this node, the target itself has to check the instance id.
+     * has at this node, and any request while the target or this node is leaving. Until the list
+     * has had a target at this node, the target itself has to check the instance id.
      */
     @Override
     public ErrorKind refusalReason(RequestStart start) {
         String service = mOwnUpstream == null ? mServiceId : mOwnUpstream.serviceId();
-        boolean otherInstance =
-                mOwnUpstream != null
-                        && !start.getInstanceId().isEmpty()
-                        && !start.getInstanceId().equals(mOwnUpstream.id());
-        if (!start.getServiceId().equals(service) || otherInstance) {
+        if (!start.getServiceId().equals(service) || isOtherTarget(start.getInstanceId())) {
             return ErrorKind.NO_UPSTREAM;
         }
         return mLeaving || isTargetLeaving() ? ErrorKind.LEAVING : null;
@@ -117,8 +121,10 @@
 
     @Override
     public boolean confirmDispatch(HomeRequest request) {
-        if (mPending.containsKey(request) && isPoisoned(request)) {
+        if (isPoisoned(request)) {
             notRun(request, ErrorKind.QUARANTINED);
+        } else if (isTargetLeaving() || isOtherTarget(request.instanceId())) {
+            notRun(request, ErrorKind.LEAVING);
         }
         return mPending.containsKey(request);
     }
@@ -184,6 +190,11 @@
         mLeaving = true;
     }
 
+    @Override
+    public boolean isTargetLeaving() {
+        return mTargetRemoved || mOwnUpstream != null && mOwnUpstream.leaving();
+    }
+
     @Override
     public boolean isIdle() {
         return mPending.isEmpty();
@@ -264,8 +275,22 @@
         held.forEach(pending -> pending.refuse(ErrorKind.LEAVING, 0));
     }
 
-    private boolean isTargetLeaving() {
-        return mOwnUpstream != null && mOwnUpstream.leaving();
+    private void refuseWaitingForOtherTargets() {
+        for (SlotRequest pending : List.copyOf(mPending.values())) {
+            boolean waits = !pending.mDispatched && mPending.containsKey(pending.mRequest);
+            if (waits && isOtherTarget(pending.mRequest.instanceId())) {
+                mAdmission.cancel(pending);
+                mHeldSuspects.remove(pending);
+                pending.refuse(ErrorKind.LEAVING, 0);
+            }
+        }
+    }
+
+    /** Returns whether an id is known not to be that of the target at this node. */
+    private boolean isOtherTarget(String instanceId) {
+        return mOwnUpstream != null
+                && !instanceId.isEmpty()
+                && !instanceId.equals(mOwnUpstream.id());
     }
 
     private void end(HomeRequest request, boolean targetFailed) {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/HomeRequestsTest.java
@@ -17,6 +17,7 @@
 import org.foxtailmoor.core.routing.Route;
 import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.RoutingSnapshotBuilder;
+import org.foxtailmoor.protocol.generated.RequestStart;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -218,6 +219,54 @@
         }
     }
 
+    @Nested
+    class RemovedTarget {
+        private void publishWithoutTarget() {
+            mHome.update(
+                    new RoutingSnapshotBuilder()
+                            .service("s", (int) SLOTS)
+                            .route("order", "s", "POST", "/", false)
+                            .upstreams("s", "doo", "sapporo-a", "other")
+                            .build(1, 2),
+                    "s");
+        }
+
+        private RequestStart start(String key) {
+            return RequestStart.newBuilder()
+                    .setServiceId("s")
+                    .setRouteId("order")
+                    .setIdempotencyKey(key)
+                    .build();
+        }
+
+        /** Guards against queued requests that reach a target long after it was removed. */
+        @Test
+        void queuedRequestsAreRefusedButRunningOnesComplete() {
+            Call running = accept("order", key("a"), 1);
+            accept("order", null, 2);
+            Call queued = accept("order", null, 3);
+            Call keyed = accept("order", key("b"), 4);
+            Call joined = accept("order", keyed.key(), 4);
+            publishWithoutTarget();
+            assertThat(List.of(queued, keyed, joined))
+                    .extracting(call -> call.mRefusal)
+                    .containsOnly(ErrorKind.LEAVING);
+            mHome.completed(running, ANSWER);
+            assertThat(mDispatched).doesNotContain(queued, keyed, joined);
+            assertThat(accept("order", running.key(), 1).mAnswer).isSameAs(ANSWER);
+        }
+
+        @Test
+        void newRequestsAreRefusedUntilTheTargetIsListedAgain() {
+            publishWithoutTarget();
+            assertThat(mHome.refusalReason(start(""))).isEqualTo(ErrorKind.LEAVING);
+            assertThat(accept("order", key("a"), 1).mRefusal).isEqualTo(ErrorKind.LEAVING);
+            mHome.update(mSnapshot, "s");
+            assertThat(mHome.refusalReason(start(""))).isNull();
+            assertThat(accept("order", null, 1).isDispatched()).isTrue();
+        }
+    }
+
     @Nested
     class CrashingRequests {
         private static final long CRASHING_BODY = 66;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/SlotRequestsTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class SlotRequestsTest {
     private static final String ADDRESS = "10.0.0.1";
@@ -47,12 +49,19 @@
     private final class TestRequest implements HomeRequest {
         private final long mDeadline = mTicker.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         private final Fingerprint mFingerprint;
+        private final String mInstanceId;
         private boolean mDispatched;
         private ErrorKind mRefusal;
         private boolean mAborted;
 
-        TestRequest(Fingerprint fingerprint) {
+        TestRequest(Fingerprint fingerprint, String instanceId) {
             mFingerprint = fingerprint;
+            mInstanceId = instanceId;
+        }
+
+        @Override
+        public String instanceId() {
+            return mInstanceId;
         }
 
         @Override
@@ -113,8 +122,6 @@
     }
 
     private void publish(String id, String service, boolean leaving) {
-        mVersion++;
-        DocumentVersion version = DocumentVersion.newBuilder().setNumber(mVersion).build();
         Instance instance =
                 Instance.newBuilder()
                         .setId(id)
@@ -124,16 +131,24 @@
                         .setSlots(mSlots)
                         .setLeaving(leaving)
                         .build();
+        mRequests.update(newSnapshot(instance), "s");
+    }
+
+    private void publishWithoutTarget() {
+        mRequests.update(newSnapshot(), "s");
+    }
+
+    private RoutingSnapshot newSnapshot(Instance... instances) {
+        mVersion++;
+        DocumentVersion version = DocumentVersion.newBuilder().setNumber(mVersion).build();
         List<Entry> entries =
                 List.of(
                         Entry.newBuilder()
                                 .setId("s")
                                 .setServiceEntry(ServiceEntry.getDefaultInstance())
                                 .build());
-        mRequests.update(
-                RoutingSnapshot.of(
-                        CatalogueSnapshot.of(version, entries), version, List.of(instance)),
-                "s");
+        return RoutingSnapshot.of(
+                CatalogueSnapshot.of(version, entries), version, List.of(instances));
     }
 
     private TestRequest accept() {
@@ -142,7 +157,10 @@
     }
 
     private TestRequest accept(Fingerprint fingerprint) {
-        TestRequest request = new TestRequest(fingerprint);
+        return accept(new TestRequest(fingerprint, ""));
+    }
+
+    private TestRequest accept(TestRequest request) {
         mRequests.accept(request);
         return request;
     }
@@ -164,6 +182,28 @@
             assertThat(mRequests.refusalReason(start("s", "i-1"))).isEqualTo(ErrorKind.NO_UPSTREAM);
         }
 
+        /** Guards against requests that reach a target long after its entry was removed. */
+        @Test
+        void removedTargetGetsNoNewRequestUntilItIsListedAgain() {
+            publishWithoutTarget();
+            assertThat(mRequests.refusalReason(start("s", "i-1"))).isEqualTo(ErrorKind.LEAVING);
+            assertThat(mRequests.isTargetLeaving()).isTrue();
+            publishWithoutTarget();
+            assertThat(mRequests.refusalReason(start("s", "i-1"))).isEqualTo(ErrorKind.LEAVING);
+            publish("i-1", "s", false);
+            assertThat(mRequests.refusalReason(start("s", "i-1"))).isNull();
+            assertThat(mRequests.isTargetLeaving()).isFalse();
+        }
+
+        /** Guards against a starting node that refuses requests because its list is still short. */
+        @Test
+        void targetThatWasNeverListedGetsRequests() {
+            SlotRequests starting = SlotRequests.of(mTicker, mAdmission, mCrashes, ADDRESS, PORT);
+            starting.update(newSnapshot(), "s");
+            assertThat(starting.refusalReason(start("s", "i-1"))).isNull();
+            assertThat(starting.isTargetLeaving()).isFalse();
+        }
+
         @Test
         void leavingTargetGetsNoNewRequest() {
             publish("i-1", "s", true);
@@ -193,6 +233,47 @@
             assertThat(running.mRefusal).isNull();
         }
 
+        /** Guards against dispatching queued requests to a target whose entry was removed. */
+        @Test
+        void removedTargetRefusesQueuedButNotRunningRequests() {
+            TestRequest running = accept();
+            accept();
+            TestRequest queued = accept();
+            publishWithoutTarget();
+            assertThat(queued.mRefusal).isEqualTo(ErrorKind.LEAVING);
+            assertThat(running.mRefusal).isNull();
+            mRequests.completed(running, new StoredAnswer(200, List.of(), new byte[0]));
+            assertThat(queued.mDispatched).isFalse();
+        }
+
+        /** Guards against a connection that is established only after the target has left. */
+        @Test
+        void requestThatWaitsForAConnectionIsRefusedOnceItsTargetIsRemoved() {
+            TestRequest connecting = accept();
+            publishWithoutTarget();
+            assertThat(mRequests.confirmDispatch(connecting)).isFalse();
+            assertThat(connecting.mRefusal).isEqualTo(ErrorKind.LEAVING);
+            assertThat(mRequests.isIdle()).isTrue();
+        }
+
+        /** Guards against queued requests that reach the next target at the same address. */
+        @ParameterizedTest
+        @CsvSource({"i-2,s", "i-2,t"})
+        void targetThatTakesOverTheAddressGetsNoQueuedRequestsOfTheEarlierOne(
+                String id, String service) {
+            accept();
+            TestRequest running = accept();
+            TestRequest queued = accept(new TestRequest(new Fingerprint(1, 0), "i-1"));
+            TestRequest other = accept(new TestRequest(new Fingerprint(1, 1), "i-2"));
+            publish(id, service, false);
+            assertThat(queued.mRefusal).isEqualTo(ErrorKind.LEAVING);
+            assertThat(other.mRefusal).isNull();
+            assertThat(running.mRefusal).isNull();
+            mRequests.completed(running, new StoredAnswer(200, List.of(), new byte[0]));
+            assertThat(queued.mDispatched).isFalse();
+            assertThat(other.mDispatched).isTrue();
+        }
+
         /** Guards against a slot that is not released when its request ends. */
         @Test
         void everyOutcomeReleasesTheSlot() {
@@ -325,6 +406,18 @@
             assertThat(crashes).isBetween(1, 3);
         }
 
+        /** Guards against a suspect that is held back until after its target has left. */
+        @Test
+        void removedTargetRefusesHeldSuspects() {
+            crashBesideOthers(accept(mCrashing), accept(new Fingerprint(2, 0)));
+            TestRequest running = accept(mCrashing);
+            TestRequest held = accept(new Fingerprint(2, 0));
+            assertThat(running.mDispatched).isTrue();
+            assertThat(held.mDispatched).isFalse();
+            publishWithoutTarget();
+            assertThat(held.mRefusal).isEqualTo(ErrorKind.LEAVING);
+        }
+
         /** Guards against a second crash that cannot be attributed to one suspect. */
         @Test
         void suspectsRunOneAtATimeBesideOtherRequests() {
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/DataSide.java
@@ -404,6 +404,9 @@
         mSnapshot = snapshot;
         mUpstreams.update(snapshot);
         mHome.update(snapshot);
+        if (mHome.isTargetLeaving()) {
+            mLinkServer.refuseIncompleteRequests();
+        }
         if (mDependencies.policies().exchangesCrashes()) {
             mCrashes.update(snapshot);
         }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Home.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Home.java
@@ -17,6 +17,9 @@
     /** Returns the current load of the target. */
     Load load();
 
-    /** Returns whether new requests are refused because the upstream is leaving. */
+    /** Returns whether new requests are refused because this node is leaving. */
     boolean isLeaving();
+
+    /** Returns whether new requests are refused because only the target is leaving or gone. */
+    boolean isTargetLeaving();
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeGateway.java
@@ -103,6 +103,11 @@
         return mLeaving;
     }
 
+    @Override
+    public boolean isTargetLeaving() {
+        return mDecisions != null && mDecisions.isTargetLeaving();
+    }
+
     /** Sets the listener for the state of the target. */
     void setTargetStateListener(TargetStateListener listener) {
         mTargetStateListener = listener;
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HomeTask.java
@@ -78,6 +78,11 @@
         return mCrashFingerprint;
     }
 
+    @Override
+    public String instanceId() {
+        return mCall.start().getInstanceId();
+    }
+
     @Override
     public long deadlineNanoseconds() {
         return mCall.deadlineNanoseconds();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServer.java
@@ -110,6 +110,11 @@
         mLinks.forEach(LinkServerHandler::sendGoingAway);
     }
 
+    /** Refuses requests that are still arriving, because the target is leaving. */
+    void refuseIncompleteRequests() {
+        mLinks.forEach(LinkServerHandler::refuseIncompleteRequests);
+    }
+
     /** Returns whether no link has an open request. */
     boolean isIdle() {
         return mLinks.stream().allMatch(LinkServerHandler::isIdle);
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/LinkServerHandler.java
@@ -123,6 +123,11 @@
      */
     void sendGoingAway() {
         mChannel.writeAndFlush(Frames.goingAway());
+        refuseIncompleteRequests();
+    }
+
+    /** Refuses the requests that are still arriving and would be refused when they are complete. */
+    void refuseIncompleteRequests() {
         for (long number : List.copyOf(mStreams.keySet())) {
             Stream stream = mStreams.get(number);
             if (stream.isRefusedByLeavingHome()) {
@@ -220,7 +225,8 @@
                                 Integer.toUnsignedLong(start.getDeadlineMilliseconds()));
         Stream stream = new Stream(start, deadline, body);
         mStreams.put(number, stream);
-        if (mHome.isLeaving() && stream.isRefusedByLeavingHome()) {
+        boolean leaving = mHome.isLeaving() || mHome.isTargetLeaving();
+        if (leaving && stream.isRefusedByLeavingHome()) {
             refuseLeaving(number, stream);
         } else if (start.getBodyOnGrant()) {
             grantBody(number, stream, bytes);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/LinkServerHandlerTest.java
@@ -38,6 +38,7 @@
         private final List<OutcomeListener> mListeners = new ArrayList<>();
         private int mCancelled;
         private boolean mLeaving;
+        private boolean mTargetLeaving;
 
         @Override
         public Cancellable submit(HomeCall call, OutcomeListener listener) {
@@ -56,6 +57,11 @@
         public boolean isLeaving() {
             return mLeaving;
         }
+
+        @Override
+        public boolean isTargetLeaving() {
+            return mTargetLeaving;
+        }
     }
 
     @BeforeEach
@@ -130,6 +136,21 @@
         assertThat(mLink.isIdle()).isTrue();
     }
 
+    /** Guards against uploads that are carried to a target which has left. */
+    @Test
+    void incompleteRequestsForALeavingTargetAreRefusedAsNotRun() {
+        receiveStart(1, 10);
+        mHome.mTargetLeaving = true;
+        mLink.refuseIncompleteRequests();
+        receiveStart(2, 10);
+        receiveChunk(2, "0123456789", true);
+        assertThat(mHome.mCalls).isEmpty();
+        assertThat(sent())
+                .extracting(message -> message.getRefusal().getKind())
+                .containsExactly("LEAVING", "LEAVING");
+        assertThat(mLink.isIdle()).isTrue();
+    }
+
     @Test
     void closedLinkCancelsItsRequests() {
         receiveStart(1, 0);
