Free the port of the fake target before its close returns

Cause: TargetFailureTest.unreachableTargetIsReportedAsNotRun closes the port of its target and binds it again. Change: FakeTarget.close waits for that thread. The test itself is unchanged.

--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/FakeTarget.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -89,6 +90,7 @@
     }
 
     private final ServerSocket mServer;
+    private final Thread mAcceptingThread;
     private final BlockingQueue<Received> mReceived = new LinkedBlockingQueue<>();
     private final CompletableFuture<Void> mConnectionClosed = new CompletableFuture<>();
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
@@ -103,7 +105,7 @@
 
     FakeTarget(int port) throws IOException {
         mServer = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
-        startThread(this::accept);
+        mAcceptingThread = startThread(this::accept);
     }
 
     /** Makes the target answer every request immediately with its path. */
@@ -162,9 +164,15 @@
         return mConnectionClosed;
     }
 
+    /** Closes the port. The operating system frees it when the accepting thread has left it. */
     @Override
     public void close() throws IOException {
         mServer.close();
+        try {
+            mAcceptingThread.join(TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException("interrupted while the port is closed");
+        }
     }
 
     private void accept() {
@@ -217,9 +225,10 @@
         return new Received(parts[0], parts[1], text.headers(), text.body(), socket);
     }
 
-    private static void startThread(Runnable runnable) {
+    private static Thread startThread(Runnable runnable) {
         Thread thread = new Thread(runnable, "fake-target");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
