Show that counts of other fingerprints do not concern a request

Cause: during a release, old and new nodes count crashes by fingerprints of other fields; nothing showed that neither group acts on the other's counts. Result: CrashTableTest passes, 11 of 11.

--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashTableTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/home/CrashTableTest.java
@@ -150,6 +150,24 @@
         }
     }
 
+    /**
+     * Guards against counts of old nodes, in a release, that get requests of all callers refused.
+     */
+    @Test
+    void countsForTheContentAloneDoNotConcernTheRequestOfACaller() {
+        Fingerprint content = new Fingerprint(8, 1);
+        Fingerprint request = content.withOrigin("mesh.example", "desk");
+        mFirst.crashed(List.of(content));
+        mSecond.crashed(List.of(content));
+        exchange();
+        assertThat(mThird.status(content)).isEqualTo(Status.POISONED);
+        assertThat(mThird.status(request)).isEqualTo(Status.CLEAR);
+        mFirst.crashed(List.of(request));
+        mSecond.crashed(List.of(request));
+        exchange();
+        assertThat(mThird.status(request)).isEqualTo(Status.POISONED);
+    }
+
     /** Guards against counts of a restarted node that are taken for old ones. */
     @Test
     void crashAfterARestartOfTheReporterCounts() {
