--- a/review/common-2/review2/Changes.java
+++ b/review/common-2/review2/Changes.java
@@ -38,7 +38,7 @@
         for (int machine = 2; machine < 2 + MACHINES; machine++) {
             lab.register("i-" + machine, SERVICE, machine, 12, "ready");
             applications.add(
-                    new Http.Server(lab.address(machine), lab.applicationPort(), 0, handler));
+                    new Http.Server(lab.address(machine), lab.applicationPort(), handler));
         }
         for (int machine = 2; machine < 2 + MACHINES; machine++) {
             nodes.add(lab.start("sidecar-" + machine, machine, SERVICE));
--- a/review/common-2/review2/Foreign.java
+++ b/review/common-2/review2/Foreign.java
@@ -24,7 +24,7 @@
             int machine = FIRST_MACHINE + i;
             lab.register("i-" + machine, SERVICES[i], machine, 12, "ready");
             applications.add(
-                    new Http.Server(lab.address(machine), lab.applicationPort(), 0, handler));
+                    new Http.Server(lab.address(machine), lab.applicationPort(), handler));
         }
         lab.mStore.put(
                 "op/config",
--- a/review/common-2/review2/Http.java
+++ b/review/common-2/review2/Http.java
@@ -71,13 +71,9 @@
         private final Handler mHandler;
         private final Set<Socket> mConnections = ConcurrentHashMap.newKeySet();
 
-        Server(String address, int port, int receiveBufferBytes, Handler handler)
-                throws IOException {
+        Server(String address, int port, Handler handler) throws IOException {
             mHandler = handler;
             mSocket.setReuseAddress(true);
-            if (receiveBufferBytes > 0) {
-                mSocket.setReceiveBufferSize(receiveBufferBytes);
-            }
             mSocket.bind(new InetSocketAddress(InetAddress.getByName(address), port), 512);
             Thread acceptor = new Thread(this::accept, "accept " + port);
             acceptor.setDaemon(true);
@@ -88,17 +84,12 @@
             return mSocket.getLocalPort();
         }
 
-        /** Closes all open connections; new ones are still accepted. */
-        void closeConnections() {
-            for (Socket connection : mConnections) {
-                closeQuietly(connection);
-            }
-        }
-
         @Override
         public void close() throws IOException {
             mSocket.close();
-            closeConnections();
+            for (Socket connection : mConnections) {
+                closeQuietly(connection);
+            }
         }
 
         private void accept() {
@@ -219,7 +210,8 @@
     }
 
     /** Request of a client. */
-    record Request(String method, String path, String host, String id, int deadlineMs, byte[] body) {
+    record Request(
+            String method, String path, String host, String id, int deadlineMs, byte[] body) {
         byte[] head() {
             return (method
                             + " "
--- a/review/common-2/review2/Lab.java
+++ b/review/common-2/review2/Lab.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -106,8 +107,8 @@
         return mOtherRegion.contains(machine) ? OTHER_ZONE : ZONE;
     }
 
-    /** Finds ports that no process uses on the addresses of the case. */
-    private int[] freePorts(int count) throws IOException {
+    /** Finds ports that no process uses on any address. */
+    private static int[] freePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
         for (int i = 0; i < count; i++) {
@@ -172,11 +173,7 @@
     void writeSettings(Node node, int machine, String service) throws IOException {
         Path next = node.mSettings.resolveSibling(node.mName + ".next");
         Files.writeString(next, settings(node.mName, machine, service));
-        Files.move(
-                next,
-                node.mSettings,
-                java.nio.file.StandardCopyOption.REPLACE_EXISTING,
-                java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        Files.move(next, node.mSettings, StandardCopyOption.ATOMIC_MOVE);
     }
 
     private static List<String> command() throws IOException {
@@ -281,13 +278,6 @@
         return Http.callOnce(node.mAddress, mOutbound, request, request.deadlineMs() + 2_000);
     }
 
-    void signal(Node node, String signal) throws IOException, InterruptedException {
-        mRecord.line("signal %s to %s", signal, node.mName);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(node.mProcess.pid()))
-                .start()
-                .waitFor();
-    }
-
     /** Kills the process of a node and waits for its end. */
     void kill(Node node) throws InterruptedException {
         mRecord.line("SIGKILL to %s", node.mName);
@@ -358,8 +348,9 @@
                             .formatted(service));
         }
         resources.add(
-                "{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,"
-                        + "\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}}");
+                "{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{"
+                        + "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+                        + "\"header_timeout_s\":3,\"idle_timeout_s\":15}}");
         return "{\"version\":\"r%d\",\"resources\":[%s]}"
                 .formatted(version, String.join(",", resources));
     }
--- a/review/common-2/review2/LongTarget.java
+++ b/review/common-2/review2/LongTarget.java
@@ -28,7 +28,6 @@
                 new Http.Server(
                         lab.address(2),
                         lab.applicationPort(),
-                        0,
                         Lab.soundApplication(lab.mRecord, 400))) {
             lab.mRecord.line("application on port %d", application.port());
             Lab.Node node = lab.start("sidecar-1", 2, SERVICE);
--- a/review/common-2/review2/NeverReady.java
+++ b/review/common-2/review2/NeverReady.java
@@ -29,7 +29,7 @@
         List<Http.Server> applications = new ArrayList<>();
         for (int machine = 2; machine <= 3; machine++) {
             applications.add(
-                    new Http.Server(lab.address(machine), lab.applicationPort(), 0, handler));
+                    new Http.Server(lab.address(machine), lab.applicationPort(), handler));
         }
         List<Lab.Node> nodes =
                 List.of(lab.start("sidecar-1", 2, SERVICE), lab.start("sidecar-2", 3, SERVICE));
@@ -43,6 +43,9 @@
         }
         Thread.sleep(4_000);
         int before = served(lab, nodes, "before");
+        if (before < REQUESTS / 4) {
+            throw new IllegalStateException("only " + before + " requests were served at first");
+        }
         if (lab.mTrouble) {
             for (Lab.Node node : nodes) {
                 lab.kill(node);
@@ -69,7 +72,7 @@
         for (Http.Server application : applications) {
             application.close();
         }
-        return before >= REQUESTS / 4 && after < REQUESTS / 4;
+        return after < REQUESTS / 4;
     }
 
     private static int served(Lab lab, List<Lab.Node> nodes, String phase) throws Exception {
--- a/review/common-2/review2/Reload.java
+++ b/review/common-2/review2/Reload.java
@@ -35,12 +35,11 @@
         AtomicInteger ran = new AtomicInteger();
         Http.Handler sound = Lab.soundApplication(lab.mRecord, 400);
         try (Http.Server first =
-                        new Http.Server(lab.address(2), lab.applicationPort(), 0, sound);
+                        new Http.Server(lab.address(2), lab.applicationPort(), sound);
                 Http.Server second =
                         new Http.Server(
                                 lab.address(3),
                                 lab.applicationPort(),
-                                0,
                                 (head, in, socket) -> {
                                     ran.incrementAndGet();
                                     String caller = head.header("x-caller-service");
@@ -65,7 +64,8 @@
                 lab.register("i-3", AFTER, 2, 12, "ready");
                 lab.writeSettings(node, 2, AFTER);
                 expected.set(0, AFTER);
-                lab.mRecord.line("settings of %s: service = %s, without a signal", node.mName, AFTER);
+                lab.mRecord.line(
+                        "settings of %s: service = %s, without a signal", node.mName, AFTER);
             }
             Thread.sleep(WAIT_MILLISECONDS);
             int servedAfter = send(lab, node, "after");
--- a/review/common-2/review2/Store.java
+++ b/review/common-2/review2/Store.java
@@ -25,15 +25,9 @@
     private final List<Event> mHistory = new ArrayList<>();
     private long mRevision = 100;
     private long mForgottenRevision = 100;
-    private boolean mSilent;
-    private int mLargestWatchBytes;
 
     Store(String address, int port) throws IOException {
-        mServer = new Http.Server(address, port, 0, this::handle);
-    }
-
-    int port() {
-        return mServer.port();
+        mServer = new Http.Server(address, port, this::handle);
     }
 
     synchronized void put(String key, String value) {
@@ -44,16 +38,6 @@
         add(new Event(key, null, ++mRevision, System.nanoTime()));
     }
 
-    /** Sets whether requests are left without an answer. */
-    synchronized void setSilent(boolean silent) {
-        mSilent = silent;
-        notifyAll();
-    }
-
-    synchronized int largestWatchBytes() {
-        return mLargestWatchBytes;
-    }
-
     @Override
     public void close() throws IOException {
         mServer.close();
@@ -88,17 +72,12 @@
                     boolean forgotten = after < mForgottenRevision;
                     status = forgotten ? 410 : 200;
                     body = forgotten ? "{}" : events(head.query().get("prefix"), after);
-                    mLargestWatchBytes = Math.max(mLargestWatchBytes, body.length());
                 }
                 default -> {
                     status = 404;
                     body = "{}";
                 }
             }
-            if (mSilent) {
-                // A connection on which a response is lost returns nothing further.
-                awaitForever();
-            }
         }
         Http.answer(
                 socket.getOutputStream(),
@@ -108,12 +87,6 @@
         return true;
     }
 
-    private void awaitForever() {
-        while (true) {
-            await(TimeUnit.HOURS.toMillis(1));
-        }
-    }
-
     private void await(long milliseconds) {
         try {
             wait(Math.max(1, milliseconds));
