Bound the earlier values of all items together

Cause: a copy of the store keeps four earlier values of each large item as bases of differences. Their number was bounded for an item, not their size over all items, so that the memory grew with the items that change. Change: EarlierValues keeps them in the order of their replacement, at most four of an item and 6 MiB together. The configuration keeps its four bases at 1 MB; if other large items change too, the oldest are dropped, and a receiver that needs one gets the whole value.

Test: StoreCopyTest.earlierValuesOfAllItemsTogetherAreBounded, before: Expecting actual: 104857600L to be between: [1L, 6291456L]

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreCopy.java
@@ -2,10 +2,7 @@
 
 import io.netty.util.concurrent.Ticker;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -34,15 +31,10 @@
     /** Number of removals that are remembered to pass them on. */
     static final int MAX_REMOVALS = 4_096;
 
-    /** Size above which earlier values are kept, so that they can be the base of a difference. */
-    private static final int LARGE_VALUE_BYTES = 4_096;
-
-    private static final int MAX_EARLIER_VALUES = 4;
-
     private final Ticker mTicker;
     private final long mRemovalGraceNanoseconds;
     private final Map<String, StoreItem> mItems = new TreeMap<>();
-    private final Map<String, Deque<StoreItem>> mEarlierValues = new HashMap<>();
+    private final EarlierValues mEarlierValues = new EarlierValues();
     private final LinkedHashMap<String, Long> mRemovedRevisions = new LinkedHashMap<>();
     private final Map<String, Long> mExpiryTimes = new LinkedHashMap<>();
     private final Set<String> mChangedKeys = new HashSet<>();
@@ -223,17 +215,7 @@
      * of large items are kept after a change.
      */
     public StoreItem valueAt(String key, long revision) {
-        Deque<StoreItem> earlier = mEarlierValues.get(key);
-        if (earlier == null) {
-            return null;
-        }
-        for (Iterator<StoreItem> newest = earlier.descendingIterator(); newest.hasNext(); ) {
-            StoreItem item = newest.next();
-            if (item.revision() <= revision) {
-                return item;
-            }
-        }
-        return null;
+        return mEarlierValues.at(key, revision);
     }
 
     /**
@@ -317,22 +299,16 @@
     }
 
     private void keepEarlierValue(StoreItem item) {
-        if (item == null || item.value().size() <= LARGE_VALUE_BYTES) {
-            return;
-        }
-        mLargeChangeSeen = true;
-        mLargeChangeNanoseconds = mTicker.nanoTime();
-        Deque<StoreItem> earlier =
-                mEarlierValues.computeIfAbsent(item.key(), key -> new ArrayDeque<>());
-        earlier.addLast(item);
-        if (earlier.size() > MAX_EARLIER_VALUES) {
-            earlier.removeFirst();
+        if (item != null && EarlierValues.isLarge(item)) {
+            mLargeChangeSeen = true;
+            mLargeChangeNanoseconds = mTicker.nanoTime();
+            mEarlierValues.add(item);
         }
     }
 
     private void forget(String key) {
         mItems.remove(key);
-        mEarlierValues.remove(key);
+        mEarlierValues.forget(key);
         mChangedKeys.add(key);
     }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/StoreCopyTest.java
@@ -272,6 +272,41 @@
             assertThat(mOther.item("a")).isEqualTo(mCopy.item("a"));
         }
 
+        /** Guards against a memory that grows with the number of large items that change. */
+        @Test
+        void earlierValuesOfAllItemsTogetherAreBounded() {
+            ByteString large = ByteString.copyFrom(new byte[1_048_576]);
+            int keys = 25;
+            int revision = 0;
+            for (int version = 0; version < 5; version++) {
+                for (int key = 0; key < keys; key++) {
+                    revision++;
+                    change(mCopy, new StoreItem("key" + key, revision, large));
+                }
+            }
+            long bytes = 0;
+            for (int key = 0; key < keys; key++) {
+                for (int held = 1; held <= revision; held++) {
+                    StoreItem item = mCopy.valueAt("key" + key, held);
+                    bytes += item != null && item.revision() == held ? item.value().size() : 0;
+                }
+            }
+            assertThat(bytes).isBetween(1L, 6L * 1_048_576);
+        }
+
+        /** Guards against a bound that leaves the largest item of a store without bases. */
+        @Test
+        void theLastFourValuesOfTheLargestItemAreKept() {
+            ByteString large = ByteString.copyFrom(new byte[1_048_576]);
+            for (int revision = 1; revision <= 9; revision++) {
+                change(mCopy, new StoreItem("a", revision, large));
+            }
+            for (int revision = 5; revision <= 8; revision++) {
+                assertThat(mCopy.valueAt("a", revision).revision()).isEqualTo(revision);
+            }
+            assertThat(mCopy.valueAt("a", 4)).isNull();
+        }
+
         private ByteString encodeAfter(long revision) {
             return StoreItemBatchCodec.encode(
                     mCopy.batchAfter(revision), key -> mCopy.valueAt(key, revision));
