--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/source/StoreSnapshotBuilder.java
@@ -128,9 +128,9 @@
         if (DocumentVersions.compare(version, mCatalogue.version()) <= 0) {
             return false;
         }
+        mCatalogue = CatalogueSnapshot.of(version, catalogue.entries());
         mCatalogueKey = item.key();
         mCatalogueLabel = catalogue.label();
-        mCatalogue = CatalogueSnapshot.of(version, catalogue.entries());
         mListener.onCatalogue(catalogue.label(), item.revision());
         return true;
     }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/control/StoreControl.java
@@ -83,6 +83,9 @@
     /** The same for the store, which sends whole values. */
     static final Duration EXPECTED_STORE_RESPONSE = Duration.ofMillis(1_200);
 
+    /** Pause after a snapshot whose receiver has failed. */
+    static final long PUBLICATION_RETRY_MILLISECONDS = 1_000;
+
     private final EventLoop mLoop;
     private final ItemStore mStore;
     private final PeerItems mPeers;
@@ -93,6 +96,11 @@
     private final Timer mLoopDelay;
     private final Listener mListener;
     private long mNextTickNanoseconds;
+
+    /** Whether the snapshot builder has changes that no published snapshot contains. */
+    private boolean mUnpublished;
+
+    private long mNextPublicationNanoseconds;
     private String mSource = "";
     private boolean mReachable = true;
     private boolean mClosed;
@@ -113,6 +121,7 @@
     /** Starts reading. */
     public void start() {
         mNextTickNanoseconds = mLoop.ticker().nanoTime();
+        mNextPublicationNanoseconds = mNextTickNanoseconds;
         mLoop.scheduleAtFixedRate(
                 this::onTick, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
@@ -276,18 +285,42 @@
         }
     }
 
+    /**
+     * Publishes the changes as soon as the copy is complete. The response that completes it may
+     * have no new item itself.
+     */
     private void publish() {
-        boolean changed = false;
-        for (String key : mReplica.copy().takeChangedKeys()) {
-            changed |= mSnapshotBuilder.update(key, mReplica.copy().item(key));
+        if (applyChanges()) {
+            mUnpublished = true;
+            mReplica.setInstances(mSnapshotBuilder.instances());
         }
-        if (!changed) {
+        long now = mLoop.ticker().nanoTime();
+        boolean due = mUnpublished && now - mNextPublicationNanoseconds >= 0;
+        if (!due || !mReplica.copy().isComplete() || !mSnapshotBuilder.hasCatalogue()) {
             return;
         }
-        mReplica.setInstances(mSnapshotBuilder.instances());
-        if (mReplica.copy().isComplete() && mSnapshotBuilder.hasCatalogue()) {
+        try {
             mListener.onSnapshot(mSnapshotBuilder.snapshot());
+            mUnpublished = false;
+        } catch (RuntimeException e) {
+            LOGGER.error("cannot publish a snapshot", e);
+            mNextPublicationNanoseconds =
+                    now + TimeUnit.MILLISECONDS.toNanos(PUBLICATION_RETRY_MILLISECONDS);
+        }
+    }
+
+    /** Passes the changed items to the builder and returns whether a new snapshot is needed. */
+    private boolean applyChanges() {
+        boolean changed = false;
+        for (String key : mReplica.copy().takeChangedKeys()) {
+            try {
+                changed |= mSnapshotBuilder.update(key, mReplica.copy().item(key));
+            } catch (RuntimeException e) {
+                LOGGER.error("cannot apply the change of item {}", key, e);
+                changed = true;
+            }
         }
+        return changed;
     }
 
     private void logSource(String source) {
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/control/StoreControlTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/control/StoreControlTest.java
@@ -40,29 +40,6 @@
     private StoreReplica mReplica;
     private final RecordedLog mLog = new RecordedLog(StoreControl.class.getName());
 
-    /** Store whose calls the test completes. */
-    private static final class PendingStore implements ItemStore {
-        private CompletableFuture<Page> mList;
-        private CompletableFuture<Changes> mWatch;
-
-        @Override
-        public CompletableFuture<Page> listInstances() {
-            return CompletableFuture.completedFuture(new Page(List.of(), false, 1));
-        }
-
-        @Override
-        public CompletableFuture<Page> list(String afterKey) {
-            mList = new CompletableFuture<>();
-            return mList;
-        }
-
-        @Override
-        public CompletableFuture<Changes> watch(long afterRevision, Duration wait) {
-            mWatch = new CompletableFuture<>();
-            return mWatch;
-        }
-    }
-
     /** Ignores the content of a snapshot. */
     private static final class NoListener implements StoreSnapshotBuilder.Listener {
         @Override
