Forget budgets and limits of routes that were removed

Cause: retry budgets and shares of limits are kept by route. Nothing removed those of routes that later catalogues lack, so that memory grew with the routes of all versions since the start.

Tests, with the removal taken out: EntryDecisionsTest.budgetOfARemovedRouteIsForgotten: Expecting value to be true but was false FleetLimitsTest.shareOfARemovedRouteIsForgottenAfterItsLastRequest: expected: 0 but was: 11

--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/FleetLimits.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/admission/FleetLimits.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.TokenBucket;
 import org.foxtailmoor.core.routing.Route;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.protocol.generated.LimitEntry;
 
 /**
@@ -84,6 +85,15 @@
         }
     }
 
+    /** Forgets the shares of routes that the snapshot does not contain and that run nothing. */
+    public void retain(RoutingSnapshot snapshot) {
+        mShares.entrySet()
+                .removeIf(
+                        share ->
+                                share.getValue().mRunning == 0
+                                        && snapshot.routeById(share.getKey()) == null);
+    }
+
     private static final class Share {
         private final TokenBucket mBucket;
         private LimitEntry mLimit;
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/home/HomeRequests.java
@@ -89,6 +89,7 @@
         mService = snapshot.service(serviceId);
         List<String> members = mService == null ? List.of() : mService.homeMembers();
         mTerms.update(snapshot.instancesVersion(), members);
+        mLimits.retain(snapshot);
         if (mService != null && mService.definition().body().getSlots() > 0) {
             mAdmission.resize(mService.definition().body().getSlots());
         }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/BudgetedRetryPolicy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/BudgetedRetryPolicy.java
@@ -37,6 +37,11 @@
         return new BudgetedRetryPolicy(ticker, random);
     }
 
+    @Override
+    public void retain(RoutingSnapshot snapshot) {
+        mBudgets.keySet().removeIf(id -> snapshot.routeById(id) == null);
+    }
+
     @Override
     public void requestStarted(Route route) {
         if (route.retry() != null) {
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/EntryDecisions.java
@@ -20,6 +20,7 @@
     private final UpstreamTable mUpstreams;
     private final Balancer mBalancer;
     private final RetryPolicy mRetryPolicy;
+    private RoutingSnapshot mSnapshot;
 
     private EntryDecisions(
             EpochClock clock, UpstreamTable upstreams, Balancer balancer, RetryPolicy policy) {
@@ -44,7 +45,7 @@
             String keyHeader,
             long bodyBytes,
             long callerDeadlineMilliseconds) {
-        mUpstreams.update(snapshot);
+        applySnapshot(snapshot);
         Route route = snapshot.route(host, method, path);
         if (route == null) {
             return Decision.refused(ErrorKind.NO_ROUTE);
@@ -201,4 +202,12 @@
     private long remainingNanoseconds(EntryRequest request) {
         return request.deadlineNanoseconds() - mClock.ticker().nanoTime();
     }
+
+    private void applySnapshot(RoutingSnapshot snapshot) {
+        if (snapshot != mSnapshot) {
+            mSnapshot = snapshot;
+            mUpstreams.update(snapshot);
+            mRetryPolicy.retain(snapshot);
+        }
+    }
 }
--- a/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RetryPolicy.java
+++ b/foxtailmoor-core/src/main/java/org/foxtailmoor/core/routing/RetryPolicy.java
@@ -5,6 +5,9 @@
     /** Return value of {@link #nextDelayNanoseconds} if no further attempt is allowed. */
     long NO_RETRY = -1;
 
+    /** Forgets the budgets of routes that the snapshot does not contain. */
+    void retain(RoutingSnapshot snapshot);
+
     /** Records a new request, which increases the retry budget of its route. */
     void requestStarted(Route route);
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/admission/FleetLimitsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/admission/FleetLimitsTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.core.routing.Route;
+import org.foxtailmoor.core.routing.RoutingSnapshot;
 import org.foxtailmoor.core.routing.RoutingSnapshotBuilder;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,22 @@
             assertThat(admitted).as("half of the concurrency of 30").isEqualTo(15);
         }
 
+        /** Guards against a memory that grows with the routes of earlier catalogues. */
+        @Test
+        void shareOfARemovedRouteIsForgottenAfterItsLastRequest() {
+            RoutingSnapshot without = new RoutingSnapshotBuilder().service("s", 10).build(2, 1);
+            while (mLimits.tryAcquire(mRoute, 1) == FleetLimits.ADMITTED) {
+                mLimits.release(mRoute, true);
+            }
+            mTicker.advance(10, TimeUnit.MILLISECONDS);
+            assertThat(mLimits.tryAcquire(mRoute, 1)).isEqualTo(FleetLimits.ADMITTED);
+            mLimits.retain(without);
+            assertThat(mLimits.tryAcquire(mRoute, 1)).isNotEqualTo(FleetLimits.ADMITTED);
+            mLimits.release(mRoute, true);
+            mLimits.retain(without);
+            assertThat(mLimits.tryAcquire(mRoute, 1)).isEqualTo(FleetLimits.ADMITTED);
+        }
+
         @Test
         void tokenOfARequestThatDidNotRunIsReturned() {
             for (int i = 0; i < 50; i++) {
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/EntryDecisionsTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/routing/EntryDecisionsTest.java
@@ -141,5 +141,23 @@
             System.out.printf("retry budget 20%%: %d attempts for 10000 requests%n", attempts);
             assertThat(attempts).isBetween(11_900, 12_000 + BudgetedRetryPolicy.BUDGET_BURST);
         }
+
+        /** Guards against a memory that grows with the routes of earlier catalogues. */
+        @Test
+        void budgetOfARemovedRouteIsForgotten() {
+            AttemptFailure full = AttemptFailure.refused(ErrorKind.OVERLOADED, 0);
+            while (failFirst(begin("GET", null, 0).value(), full).isRetry()) {
+                assertThat(mTicker.nanoTime()).isZero();
+            }
+            RoutingSnapshotBuilder other =
+                    new RoutingSnapshotBuilder()
+                            .service("s", 10)
+                            .route("order", "s", "POST", "/", false)
+                            .upstreams("s", "doo", "sapporo-a", "u1", "u2", "u3");
+            mDecisions.begin(other.build(2, 1), "", "POST", "/x", null, 0, 0);
+            RoutingSnapshot back = other.route("read", "s", "GET", "/", true).build(3, 1);
+            EntryRequest request = mDecisions.begin(back, "", "GET", "/x", null, 0, 0).value();
+            assertThat(failFirst(request, full).isRetry()).isTrue();
+        }
     }
 }
