Simulate the restart of a fleet behind a configuration that fills a page

While the servers renew their entries, the test passes with the former rule too, as the first renewal publishes what the completed listing had not.

--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ConfigurationDistributionTest.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ConfigurationDistributionTest.java
@@ -11,6 +11,10 @@
 /** Distribution of the platform's configuration to 83 nodes in two regions, in virtual time. */
 class ConfigurationDistributionTest {
     private static final Size SIZE = new Size(83, 2, 225_000);
+
+    /** Small fleet with a configuration that leaves no room for a server on the first page. */
+    private static final Size FILLED_PAGE = new Size(13, 2, 900_000);
+
     private static final double CONFIG_SECONDS = 3;
     private static final double READY_SECONDS = 13;
 
@@ -38,6 +42,13 @@
         checkAllReachedWithin(READY_SECONDS, seed, Scenario.RESTART);
     }
 
+    /** Guards against the same when the last page of a listing has only known items. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void allNodesAreReadyAgainBehindAConfigurationThatFillsAPage(long seed) {
+        checkAllReachedWithin(READY_SECONDS, seed, FILLED_PAGE, Scenario.RESTART_WITHOUT_RENEWALS);
+    }
+
     /**
      * Guards against old routes in force behind the link between regions after {@code config_s}.
      */
@@ -94,10 +105,15 @@
     }
 
     private static Result checkAllReachedWithin(double bound, long seed, Scenario scenario) {
-        Result result = SimulatedFleet.measure(seed, SIZE, ReplicaNode.factory(), scenario);
+        return checkAllReachedWithin(bound, seed, SIZE, scenario);
+    }
+
+    private static Result checkAllReachedWithin(
+            double bound, long seed, Size size, Scenario scenario) {
+        Result result = SimulatedFleet.measure(seed, size, ReplicaNode.factory(), scenario);
         assertThat(result.counted())
                 .as("nodes counted")
-                .isGreaterThanOrEqualTo(SIZE.nodes() - SIZE.regions());
+                .isGreaterThanOrEqualTo(size.nodes() - size.regions());
         assertThat(result.reached()).as("nodes reached, %s", result).isEqualTo(result.counted());
         assertThat(result.lastSeconds()).as("seconds, %s", result).isLessThanOrEqualTo(bound);
         return result;
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/ReplicaNode.java
@@ -63,6 +63,7 @@
     private final Map<Long, ByteString> mEncodedBatches = new HashMap<>();
     private List<Reader> mReaders = new ArrayList<>();
     private boolean mCurrent;
+    private boolean mUnpublished;
 
     private ReplicaNode(Context context, UnaryOperator<StoreItem> shared) {
         mContext = context;
@@ -291,10 +292,9 @@
     }
 
     private void publish() {
-        boolean changed = false;
         boolean instancesChanged = false;
         for (String key : mReplica.copy().takeChangedKeys()) {
-            changed = true;
+            mUnpublished = true;
             if (key.startsWith(SimulatedStore.SERVERS_PREFIX)) {
                 instancesChanged |= updateInstance(key);
             }
@@ -302,11 +302,10 @@
         if (instancesChanged) {
             mReplica.setInstances(mInstances.values());
         }
-        if (changed) {
+        if (mUnpublished && mReplica.copy().isComplete()) {
+            mUnpublished = false;
             StoreItem configuration = mReplica.copy().item(SimulatedFleet.CONFIGURATION_KEY);
-            mContext.onState(
-                    mReplica.copy().isComplete(),
-                    configuration == null ? 0 : configuration.revision());
+            mContext.onState(true, configuration == null ? 0 : configuration.revision());
         }
     }
 
--- a/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedFleet.java
+++ b/foxtailmoor-core/src/test/java/org/foxtailmoor/core/source/SimulatedFleet.java
@@ -67,6 +67,8 @@
         STORM,
         /** All nodes are killed and start again. */
         RESTART,
+        /** The same; no server renews its entry any more. */
+        RESTART_WITHOUT_RENEWALS,
         /** The first node of the second region falls silent 10 ms before a change. */
         CHANGE_AFTER_SILENCE,
         /** The first node of the second region loses only the store, 10 ms before a change. */
@@ -109,6 +111,7 @@
     private final List<Endpoint> mNodes = new ArrayList<>();
     private final Process[] mProcesses;
     private final long[] mReachedNanoseconds;
+    private boolean mServersRenew = true;
     private long mExpectedRevision = 1;
     private final Set<Integer> mUncounted = new HashSet<>();
 
@@ -179,7 +182,8 @@
                 }
                 changeConfiguration();
             }
-            case RESTART -> {
+            case RESTART, RESTART_WITHOUT_RENEWALS -> {
+                mServersRenew = scenario == Scenario.RESTART;
                 mNodes.forEach(mNetwork::shutDown);
                 startAll(START_SPREAD);
             }
@@ -305,8 +309,10 @@
         mNetwork.schedule(
                 delay,
                 () -> {
-                    putServer(mRandom.nextInt(mNodes.size()));
-                    changeServers();
+                    if (mServersRenew) {
+                        putServer(mRandom.nextInt(mNodes.size()));
+                        changeServers();
+                    }
                 });
     }
 
