Crash targets of two homes before a node that starts has to refuse

The target is back at once, so that the second request can crash it again, and crashes that one home alone reports are no reason for others to refuse (CrashTable). The test expected more than that whenever both crashes hit one home. Change: the target that crashes first does not come back, and the test requires crashes at two homes before the late node starts. The bound and what the late node has to know are as before.

--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/CrashingRequestTest.java
@@ -73,6 +73,20 @@
         }
     }
 
+    /**
+     * Sends the request until targets of two homes have crashed. The target that crashes first does
+     * not come back: crashes that only one home reports are no reason for others to refuse.
+     */
+    private void crashTargetsOfTwoHomes() throws Exception {
+        mFleet.get(mEntry, CRASHING).get();
+        FakeTarget first =
+                mTargets.stream().filter(target -> target.crashes() > 0).findAny().orElseThrow();
+        first.close();
+        sendCrashingUntilRefused();
+        assertThat(mTargets.stream().filter(target -> target.crashes() > 0))
+                .hasSizeGreaterThanOrEqualTo(2);
+    }
+
     private static Object poisoned(TestFleet.Node node) {
         return node.metrics().getGauges().get("foxtailmoor.home.poisoned_fingerprints").getValue();
     }
@@ -167,7 +181,7 @@
     /** Guards against a node that starts and runs the request again. */
     @Test
     void nodeThatStartsLaterLearnsTheRequest() throws Exception {
-        sendCrashingUntilRefused();
+        crashTargetsOfTwoHomes();
         TestFleet.Node late = addHome("lookup-late");
         mFleet.publish();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STABILITY_MILLISECONDS);
