Refuse answers with an invalid field line

Seen by callers: 200 with the target's signature for an answer in whose head a field name held a blank or a tab, with the line passed on under the first word of the name, or with the body cut where the line gave the length. Cause: Netty's response decoder ends a name at the first blank, so that the name that the handlers see is valid, and it joins folded lines. Change: ResponseDecoder checks each field line as received, in final and interim answers, for every reader of responses: a name is a token directly before the colon, a value has no control bytes, a line is not folded and ends with CRLF.

--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
@@ -39,6 +39,22 @@
         }
     }
 
+    /**
+     * Checks a field line of a head or of trailers. Folded lines, which start with a blank, are not
+     * valid either.
+     *
+     * @throws InvalidResponseException if the line is not valid
+     */
+    static void checkFieldLine(Line line) {
+        if (line.skipAll(Characters::isToken) == 0 || !line.skip(':')) {
+            throw new InvalidResponseException("a field line has no valid name");
+        }
+        line.skipAll(Characters::isText);
+        if (!line.isAtEnd()) {
+            throw new InvalidResponseException("a field value has a control byte");
+        }
+    }
+
     private static int readStatus(Line line) {
         int status = 0;
         for (int i = 0; i < STATUS_DIGITS; i++) {
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
@@ -1,7 +1,6 @@
 package org.foxtailmoor.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
@@ -38,9 +37,6 @@
             position = lineEnd + 1;
         }
         for (Object message : messages) {
-            if (message instanceof HttpResponse) {
-                mPart = Part.BODY;
-            }
             if (message instanceof LastHttpContent) {
                 mPart = Part.STATUS_LINE;
             }
@@ -51,6 +47,10 @@
         if (mPart == Part.STATUS_LINE) {
             ResponseLines.checkStatusLine(line);
             mPart = Part.FIELD_LINES;
+        } else if (line.isAtEnd()) {
+            mPart = Part.BODY;
+        } else {
+            ResponseLines.checkFieldLine(line);
         }
     }
 }
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/InvalidAnswer.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/InvalidAnswer.java
@@ -34,15 +34,60 @@
     BLANK_BEFORE_STATUS_LINE(Part.statusLine(" HTTP/1.1 200 OK")),
     NULL_BEFORE_STATUS_LINE(Part.statusLine("\u0000HTTP/1.1 200 OK")),
     EMPTY_LINE_BEFORE_STATUS_LINE(Part.statusLine("\r\nHTTP/1.1 200 OK")),
-    BARE_LINE_FEED_AFTER_STATUS_LINE("HTTP/1.1 200 OK\n" + Part.ID + Part.LENGTH + "\r\ndone");
+    BARE_LINE_FEED_AFTER_STATUS_LINE("HTTP/1.1 200 OK\n" + Part.ID + Part.LENGTH + "\r\ndone"),
+
+    BLANK_IN_NAME(Part.field("X Name: a\r\n")),
+    TAB_IN_NAME(Part.field("X\tName: a\r\n")),
+    BLANK_AFTER_NAME(Part.field("Name : a\r\n")),
+    TAB_AFTER_NAME(Part.field("Name\t: a\r\n")),
+    BLANK_BEFORE_NAME(Part.field(" Name: a\r\n")),
+    BLANK_BEFORE_FIRST_NAME("HTTP/1.1 200 OK\r\n a: b\r\n" + Part.ID + Part.LENGTH + "\r\ndone"),
+    CONTROL_BYTE_IN_NAME(Part.field("X\u0001Name: a\r\n")),
+    NULL_IN_NAME(Part.field("X\u0000Name: a\r\n")),
+    DELETE_IN_NAME(Part.field("X\u007fName: a\r\n")),
+    CARRIAGE_RETURN_IN_NAME(Part.field("X\rName: a\r\n")),
+    OBSOLETE_TEXT_IN_NAME(Part.field("X\u00e9Name: a\r\n")),
+    PARENTHESIS_IN_NAME(Part.field("X(Name: a\r\n")),
+    QUOTE_IN_NAME(Part.field("X\"Name: a\r\n")),
+    AT_SIGN_IN_NAME(Part.field("X@Name: a\r\n")),
+    EMPTY_NAME(Part.field(": a\r\n")),
+    NO_COLON(Part.field("Name\r\n")),
+    FOLDED_VALUE(Part.field("Name: a\r\n b\r\n")),
+    FOLDED_VALUE_BEHIND_TAB(Part.field("Name: a\r\n\tb\r\n")),
+    NULL_IN_VALUE(Part.field("Name: a\u0000b\r\n")),
+    CONTROL_BYTE_IN_VALUE(Part.field("Name: a\u0001b\r\n")),
+    VERTICAL_TAB_IN_VALUE(Part.field("Name: a\u000bb\r\n")),
+    DELETE_IN_VALUE(Part.field("Name: a\u007fb\r\n")),
+    CARRIAGE_RETURN_IN_VALUE(Part.field("Name: a\rb\r\n")),
+    BARE_LINE_FEED_AFTER_VALUE(Part.field("Name: a\n")),
+    BLANK_IN_NAME_OF_LENGTH(Part.length("Content Length: 2\r\n")),
+    BLANK_IN_SHORT_NAME_OF_LENGTH(Part.length("Content-Length x: 2\r\n")),
+    BLANK_AFTER_NAME_OF_LENGTH(Part.length("Content-Length : 4\r\n")),
+    CONTROL_BYTE_IN_NAME_OF_LENGTH(Part.length("Content\u0001Length: 4\r\n")),
+    BLANK_AFTER_NAME_OF_CODING(Part.chunked("Transfer-Encoding : chunked\r\n")),
+    BLANK_IN_NAME_OF_ID("HTTP/1.1 200 OK\r\nfoxtailmoor-request-id x: 1\r\n\r\n"),
+    BLANK_IN_NAME_OF_INTERIM_ANSWER("HTTP/1.1 103 x\r\nX Name: a\r\n\r\n" + Part.COMPLETE);
 
     private static final class Part {
         private static final String ID = "foxtailmoor-request-id: 1\r\n";
         private static final String LENGTH = "Content-Length: 4\r\n";
+        private static final String COMPLETE = field("");
 
         static String statusLine(String line) {
             return line + "\r\n" + ID + LENGTH + "\r\ndone";
         }
+
+        static String field(String lines) {
+            return "HTTP/1.1 200 OK\r\n" + ID + lines + LENGTH + "\r\ndone";
+        }
+
+        static String length(String lines) {
+            return "HTTP/1.1 200 OK\r\n" + ID + lines + "\r\ndone";
+        }
+
+        static String chunked(String lines) {
+            return "HTTP/1.1 200 OK\r\n" + ID + lines + "\r\n4\r\ndone\r\n0\r\n\r\n";
+        }
     }
 
     private final String mText;
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/platform/HttpGetConnectionTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/platform/HttpGetConnectionTest.java
@@ -338,7 +338,9 @@
                 strings = {
                     "HTTP/1.1 000 x\r\nContent-Length: 4\r\n\r\nbody",
                     "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody",
-                    "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+                    "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nContent-Length x: 4\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 4\r\n\r\nbody"
                 })
         void invalidResponseFailsAndClosesTheConnection(String response) {
             CompletableFuture<HttpGetResponse> result = send();
--- a/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/http/HttpCallerTest.java
+++ b/foxtailmoor-standins/src/test/java/org/foxtailmoor/standins/http/HttpCallerTest.java
@@ -53,7 +53,8 @@
     @ValueSource(
             strings = {
                 "HTTP/1.1 000 x\r\nContent-Length: 4\r\n\r\ndone",
-                "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\ndone"
+                "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\ndone",
+                "HTTP/1.1 200 OK\r\nX\tName: a\r\nContent-Length: 4\r\n\r\ndone"
             })
     void invalidAnswerIsAFailure(String text) throws Exception {
         CompletableFuture<HttpAnswer> answer = call();
