Refuse a partial answer after a reset during an upload

Seen by callers: 200 with the first part of an answer without length, as if it were complete, when the target reset the connection while a long upload was still being written; also for version 1.0 and before the first byte of the body. Cause: two ends of a connection looked like the end of the body. A failed write consumes the reset and closes the channel without a read that reports it, and Netty's decoder completes the body when the channel becomes inactive. And a process that closes a socket with unread bytes may end its output in order (the JDK does so) and reset the connection directly after it. Change: ResponseDecoder lets the channel report the end of the peer's output by half closure, and completes a body only then, not when the channel becomes inactive. If the request is still being written, it waits until that is done or fails, at most 500 ms. All readers of responses get this.

--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
@@ -1,14 +1,20 @@
 package org.foxtailmoor.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decodes HTTP/1.1 responses and accepts only valid ones.
@@ -16,11 +22,23 @@
  * <p>Netty's decoder tolerates many deviations and hides them from the handlers behind it. This
  * class checks the bytes that it has consumed. After a violation it emits one message whose {@link
  * HttpObject#decoderResult()} has failed, and ignores all later bytes of the connection.
+ *
+ * <p>A body that ends with its connection is complete only if the peer has ended its output in
+ * order and does not reset the connection while the request is still being written. A reset that is
+ * found by a write closes the channel like an orderly end.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
+    /**
+     * Time for which the end of a body waits for the rest of its request to be written. A peer that
+     * closes a socket with unread bytes may end its output in order and reset the connection
+     * immediately afterwards; a peer that reads on does not.
+     */
+    static final long RESET_WAIT_MILLISECONDS = 500;
+
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private boolean mHeadRequest;
     private boolean mFailed;
+    private boolean mInputEnded;
 
     /**
      * Creates a decoder.
@@ -36,6 +54,27 @@
         mHeadRequest = headRequest;
     }
 
+    /** Lets the channel report the end of the peer's output instead of closing itself. */
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            onOutputOfPeerEnded(context);
+        } else {
+            super.userEventTriggered(context, event);
+        }
+    }
+
+    /** Does not complete a body: the end of the peer's output has been reported before. */
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        context.fireChannelInactive();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
             throws Exception {
@@ -61,6 +100,38 @@
         return mHeadRequest || super.isContentAlwaysEmpty(message);
     }
 
+    private void onOutputOfPeerEnded(ChannelHandlerContext context) throws Exception {
+        if (!mSyntax.isBodyEndedByConnection()) {
+            endInput(context);
+            return;
+        }
+        // Completes when everything that was written before has left the channel.
+        ChannelFuture written = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        Future<?> timer =
+                context.executor()
+                        .schedule(
+                                () -> endInput(context),
+                                RESET_WAIT_MILLISECONDS,
+                                TimeUnit.MILLISECONDS);
+        written.addListener(
+                future -> {
+                    timer.cancel(false);
+                    if (future.isSuccess()) {
+                        endInput(context);
+                    }
+                });
+    }
+
+    /** Completes a body that ends with its connection, and closes the channel. */
+    private Void endInput(ChannelHandlerContext context) throws Exception {
+        if (!mInputEnded) {
+            mInputEnded = true;
+            super.userEventTriggered(context, ChannelInputShutdownEvent.INSTANCE);
+            context.close();
+        }
+        return null;
+    }
+
     private static boolean hasFailed(List<Object> messages) {
         for (Object message : messages) {
             if (((HttpObject) message).decoderResult().isFailure()) {
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
@@ -1,6 +1,8 @@
 package org.foxtailmoor.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
@@ -16,6 +18,7 @@
     }
 
     private Part mPart = Part.STATUS_LINE;
+    private boolean mBodyEndedByConnection;
 
     /**
      * Checks one step.
@@ -37,12 +40,23 @@
             position = lineEnd + 1;
         }
         for (Object message : messages) {
+            if (message instanceof HttpResponse response) {
+                mBodyEndedByConnection =
+                        !HttpUtil.isTransferEncodingChunked(response)
+                                && !HttpUtil.isContentLengthSet(response);
+            }
             if (message instanceof LastHttpContent) {
                 mPart = Part.STATUS_LINE;
+                mBodyEndedByConnection = false;
             }
         }
     }
 
+    /** Returns whether the response whose body is being received ends with the connection. */
+    boolean isBodyEndedByConnection() {
+        return mBodyEndedByConnection;
+    }
+
     private void checkLine(Line line) {
         if (mPart == Part.STATUS_LINE) {
             ResponseLines.checkStatusLine(line);
--- /dev/null
+++ b/foxtailmoor-http/src/test/java/org/foxtailmoor/http/ResponseDecoderTest.java
@@ -0,0 +1,173 @@
+package org.foxtailmoor.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests the decoder on a channel whose reads and end the test determines. */
+class ResponseDecoderTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nName: a\r\n";
+
+    private final EmbeddedChannel mChannel =
+            new EmbeddedChannel(new ResponseDecoder(new HttpDecoderConfig()));
+
+    @AfterEach
+    void close() {
+        mChannel.finishAndReleaseAll();
+    }
+
+    private void receive(String text) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Returns a word for each decoded message; bodies are returned as they are. */
+    private List<String> messages() {
+        List<String> messages = new ArrayList<>();
+        for (Object next = mChannel.readInbound(); next != null; next = mChannel.readInbound()) {
+            messages.add(describe((HttpObject) next));
+            ReferenceCountUtil.release(next);
+        }
+        return messages;
+    }
+
+    private static String describe(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            return "failure";
+        }
+        if (message instanceof HttpResponse response) {
+            return "head " + response.status().code();
+        }
+        String body = ((HttpContent) message).content().toString(StandardCharsets.ISO_8859_1);
+        return message instanceof LastHttpContent ? body + "!" : body;
+    }
+
+    @Nested
+    class BodiesThatEndWithTheirConnection {
+        @Test
+        void orderlyEndCompletesTheBody() {
+            receive(HEAD + "\r\nbo");
+            receive("dy");
+            mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+            assertThat(messages()).containsExactly("head 200", "bo", "dy", "!");
+            assertThat(mChannel.isActive()).isFalse();
+        }
+
+        /** Guards against a failed write whose close completes a body that was cut off. */
+        @Test
+        void anyOtherEndOfTheChannelDoesNotCompleteTheBody() {
+            receive(HEAD + "\r\nbo");
+            mChannel.close();
+            assertThat(messages()).containsExactly("head 200", "bo");
+        }
+
+        @Test
+        void endOfTheChannelAfterTheHeadDoesNotCompleteTheBody() {
+            receive(HEAD + "\r\n");
+            mChannel.close();
+            assertThat(messages()).containsExactly("head 200");
+        }
+    }
+
+    @Nested
+    class EndsDuringAnUpload {
+        private ChannelPromise mUpload;
+
+        @BeforeEach
+        void sendUpload() {
+            mChannel.freezeTime();
+            mChannel.pipeline().addFirst(new HeldWrites());
+            receive(HEAD + "\r\nbody");
+            mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+            assertThat(messages()).containsExactly("head 200", "body");
+        }
+
+        /** Guards against a reset directly behind the end of the peer's output. */
+        @Test
+        void resetDoesNotCompleteTheBody() {
+            mUpload.setFailure(new IOException("Broken pipe"));
+            mChannel.close();
+            advance(ResponseDecoder.RESET_WAIT_MILLISECONDS);
+            assertThat(messages()).isEmpty();
+        }
+
+        @Test
+        void writtenUploadCompletesTheBody() {
+            mUpload.setSuccess();
+            mChannel.runPendingTasks();
+            assertThat(messages()).containsExactly("!");
+            assertThat(mChannel.isActive()).isFalse();
+        }
+
+        @Test
+        void peerThatDoesNotReadOnCompletesTheBodyAfterTheWait() {
+            advance(ResponseDecoder.RESET_WAIT_MILLISECONDS - 1);
+            assertThat(messages()).isEmpty();
+            advance(1);
+            assertThat(messages()).containsExactly("!");
+            assertThat(mChannel.isActive()).isFalse();
+        }
+
+        private void advance(long milliseconds) {
+            mChannel.advanceTimeBy(milliseconds, TimeUnit.MILLISECONDS);
+            mChannel.runScheduledPendingTasks();
+        }
+
+        /** Holds what is written, like a socket whose buffer is full. */
+        private final class HeldWrites extends ChannelOutboundHandlerAdapter {
+            @Override
+            public void write(
+                    ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                mUpload = promise;
+            }
+        }
+    }
+
+    @Nested
+    class Reads {
+        /** Guards against checks that depend on how the bytes are divided among reads. */
+        @Test
+        void responseMayArriveByteByByte() {
+            for (char next : (HEAD + "Content-Length: 2\r\n\r\nok" + HEAD + "\r\n").toCharArray()) {
+                receive(String.valueOf(next));
+            }
+            assertThat(messages()).containsExactly("head 200", "o", "k!", "head 200");
+        }
+
+        @Test
+        void violationIsFoundWhenItsLineIsComplete() {
+            receive(HEAD);
+            receive("X Na");
+            assertThat(messages()).isEmpty();
+            receive("me: a\r\n");
+            assertThat(messages()).containsExactly("failure");
+        }
+
+        @Test
+        void nothingIsDecodedAfterAViolation() {
+            receive("HTTP/1.1 000 x\r\n");
+            receive(HEAD + "Content-Length: 0\r\n\r\n");
+            assertThat(messages()).containsExactly("failure");
+        }
+    }
+}
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TestFleet.java
@@ -90,6 +90,7 @@
     private final List<Instance> mExternalInstances = new ArrayList<>();
     private final DataPolicies mPolicies;
     private int mRouteAttempts;
+    private int mBodyLimitBytes = 1_000_000;
     private int mRevision;
     private int mKeyCount;
 
@@ -108,6 +109,11 @@
         mRouteAttempts = attempts;
     }
 
+    /** Sets the limit of the body of one request; call before {@link #publish}. */
+    void setBodyLimitBytes(int bytes) {
+        mBodyLimitBytes = bytes;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
@@ -312,7 +318,7 @@
                                         .setPathPrefix(prefix)
                                         .setIdempotent(idempotent)
                                         .setDeadlineMilliseconds(10_000)
-                                        .setBodyLimitBytes(1_000_000)
+                                        .setBodyLimitBytes(mBodyLimitBytes)
                                         .setRetryId("retry")
                                         .setAttempts(mRouteAttempts))
                         .build());
