Check the chunks and trailers of chunked answers

Seen by callers: a success for an answer whose trailer had a blank in a field name or a folded line, or with a chunk extension that has no name or two words. Cause: Netty's response decoder reads trailers as leniently as the head, and only a part of the grammar of chunk extensions. Change: ResponseDecoder follows the chunks as received, independently of Netty's decoder, and refuses a body on which the two disagree about the end. Wrong sizes, ends of chunks and control bytes were refused already; their rows stay. Two valid forms are refused by Netty's decoder and stay so: a quoted extension value with bytes above 0x7f, and a blank between an unquoted value and the next semicolon.

--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
@@ -1,5 +1,7 @@
 package org.foxtailmoor.http;
 
+import io.netty.buffer.ByteBuf;
+
 /** Checks the lines in the heads of responses, see RFC 9112. */
 final class ResponseLines {
     private static final int STATUS_DIGITS = 3;
@@ -8,8 +10,24 @@
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
     private static final int DECIMAL = 10;
 
+    /** Length of the end of each line, CRLF. */
+    static final int LINE_END_BYTES = 2;
+
     private ResponseLines() {}
 
+    /**
+     * Returns the index of the next line end.
+     *
+     * @throws InvalidResponseException if the line has no end, or not CRLF
+     */
+    static int findLineEnd(ByteBuf buffer, int start, int end) {
+        int lineFeed = buffer.indexOf(start, end, (byte) '\n');
+        if (lineFeed <= start || buffer.getByte(lineFeed - 1) != '\r') {
+            throw new InvalidResponseException("a line does not end with CRLF");
+        }
+        return lineFeed - 1;
+    }
+
     /**
      * Checks a status line. A missing reason phrase may come with or without the space before it.
      *
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseSyntax.java
@@ -24,6 +24,7 @@
     private Part mPart = Part.STATUS_LINE;
     private boolean mBodyEndedByConnection;
     private boolean mNoContent;
+    private ChunkedCoding mChunkedBody;
 
     /**
      * Checks one step.
@@ -37,12 +38,12 @@
     void check(ByteBuf buffer, int start, int end, List<Object> messages) {
         int position = start;
         while (mPart != Part.BODY && position < end) {
-            int lineEnd = buffer.indexOf(position, end, (byte) '\n');
-            if (lineEnd <= position || buffer.getByte(lineEnd - 1) != '\r') {
-                throw new InvalidResponseException("a line does not end with CRLF");
-            }
-            checkLine(new Line(buffer, position, lineEnd - 1));
-            position = lineEnd + 1;
+            int lineEnd = ResponseLines.findLineEnd(buffer, position, end);
+            checkLine(new Line(buffer, position, lineEnd));
+            position = lineEnd + ResponseLines.LINE_END_BYTES;
+        }
+        if (mChunkedBody != null) {
+            mChunkedBody.check(buffer, position, end);
         }
         for (Object message : messages) {
             if (message instanceof HttpResponse head) {
@@ -66,6 +67,7 @@
         mBodyEndedByConnection =
                 !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
         mNoContent = BodyLength.hasNoContent(head);
+        mChunkedBody = HttpUtil.isTransferEncodingChunked(head) ? new ChunkedCoding() : null;
     }
 
     private void onContent(HttpContent content) {
@@ -73,6 +75,10 @@
             throw new InvalidResponseException("the status does not allow a body");
         }
         if (content instanceof LastHttpContent) {
+            if (mChunkedBody != null && !mChunkedBody.isAtEnd()) {
+                throw new InvalidResponseException("a chunked body ends early");
+            }
+            mChunkedBody = null;
             mPart = Part.STATUS_LINE;
             mBodyEndedByConnection = false;
         }
--- a/foxtailmoor-http/src/test/java/org/foxtailmoor/http/ResponseDecoderTest.java
+++ b/foxtailmoor-http/src/test/java/org/foxtailmoor/http/ResponseDecoderTest.java
@@ -154,6 +154,19 @@
             assertThat(messages()).containsExactly("head 200", "o", "k!", "head 200");
         }
 
+        @Test
+        void chunkedResponseMayArriveByteByByte() {
+            String response =
+                    HEAD
+                            + "Transfer-Encoding: chunked\r\n\r\n"
+                            + "2;a=b\r\n\r\n\r\n1\r\nx\r\n0\r\nName: a\r\n\r\n";
+            for (char next : response.repeat(2).toCharArray()) {
+                receive(String.valueOf(next));
+            }
+            List<String> once = List.of("head 200", "\r", "\n", "x", "!");
+            assertThat(messages()).containsSubsequence(once).hasSize(2 * once.size());
+        }
+
         @Test
         void violationIsFoundWhenItsLineIsComplete() {
             receive(HEAD);
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/InvalidAnswer.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/InvalidAnswer.java
@@ -67,6 +67,10 @@
     BLANK_AFTER_NAME_OF_CODING(Part.chunked("Transfer-Encoding : chunked\r\n")),
     BLANK_IN_NAME_OF_ID("HTTP/1.1 200 OK\r\nfoxtailmoor-request-id x: 1\r\n\r\n"),
     BLANK_IN_NAME_OF_INTERIM_ANSWER("HTTP/1.1 103 x\r\nX Name: a\r\n\r\n" + Part.COMPLETE),
+    BLANK_IN_NAME_OF_TRAILER(Part.chunks("4\r\ndone\r\n0\r\nX Name: a\r\n\r\n")),
+    FOLDED_TRAILER(Part.chunks("4\r\ndone\r\n0\r\nName: a\r\n b\r\n\r\n")),
+    BLANK_BEFORE_TRAILER(Part.chunks("4\r\ndone\r\n0\r\n Name: a\r\n\r\n")),
+    CONTROL_BYTE_IN_TRAILER(Part.chunks("4\r\ndone\r\n0\r\nName: \u0001\r\n\r\n")),
 
     LENGTH_TWICE(Part.length("Content-Length: 4\r\nContent-Length: 4\r\n")),
     LENGTHS_DIFFER(Part.length("Content-Length: 4\r\nContent-Length: 2\r\n")),
@@ -99,7 +103,32 @@
     CODING_WITH_PARAMETER(Part.chunked("Transfer-Encoding: chunked;a=b\r\n")),
     CODING_UNKNOWN(Part.chunked("Transfer-Encoding: xchunked\r\n")),
     CODING_IDENTITY(Part.chunked("Transfer-Encoding: identity\r\n")),
-    CODING_EMPTY(Part.chunked("Transfer-Encoding:\r\n"));
+    CODING_EMPTY(Part.chunked("Transfer-Encoding:\r\n")),
+
+    CHUNK_SIZE_MISSING(Part.chunks("\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_WITHOUT_DIGITS(Part.chunks(";a=b\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_WITH_LETTER(Part.chunks("4g\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_NEGATIVE(Part.chunks("-4\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_WITH_PLUS(Part.chunks("+4\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_WITH_PREFIX(Part.chunks("0x4\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_BLANK(Part.chunks("4 \r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_TEXT(Part.chunks("4 4\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_CONTROL_BYTE(Part.chunks("4\u0001\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEHIND_BLANK(Part.chunks(" 4\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_OVERFLOW(Part.chunks("100000004\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_LONG_OVERFLOW(Part.chunks("10000000000000004\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_LINE_FEED(Part.chunks("4\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITHOUT_NAME(Part.chunks("4;\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITHOUT_VALUE(Part.chunks("4;a=\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITH_OPEN_QUOTE(Part.chunks("4;a=\"b\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITH_TWO_WORDS(Part.chunks("4;a b\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITH_CONTROL_BYTE(Part.chunks("4;a=\u0001\r\ndone\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITH_LINE_FEED(Part.chunks("4;a\ndone\r\n0\r\n\r\n")),
+    CHUNK_LONGER_THAN_ITS_SIZE(Part.chunks("4\r\ndone!\r\n0\r\n\r\n")),
+    CHUNK_BEFORE_LINE_FEED(Part.chunks("4\r\ndone\n0\r\n\r\n")),
+    CHUNK_WITHOUT_LINE_END(Part.chunks("4\r\ndone0\r\n\r\n")),
+    LAST_CHUNK_BEFORE_LINE_FEED(Part.chunks("4\r\ndone\r\n0\n\r\n")),
+    TRAILERS_BEFORE_LINE_FEED(Part.chunks("4\r\ndone\r\n0\r\na: b\r\n\n"));
 
     private static final class Part {
         private static final String ID = "foxtailmoor-request-id: 1\r\n";
@@ -126,6 +155,10 @@
         static String chunked(String lines) {
             return "HTTP/1.1 200 OK\r\n" + ID + lines + "\r\n4\r\ndone\r\n0\r\n\r\n";
         }
+
+        static String chunks(String chunks) {
+            return "HTTP/1.1 200 OK\r\n" + ID + CODING + "\r\n" + chunks;
+        }
     }
 
     private final String mText;
