Refuse answers of other nodes that cannot be written

Seen by callers: no answer at all until they gave up, when a home node sent an answer with a field name or value that is not valid; with a transfer coding or a connection option among the fields, an answer with two lengths or a foreign option; 503, which promises that a request has not run, when a refusal followed the start of its answer. Such a home node is a broken one or one of another version. Cause: a link checked the status and the length only. An invalid name raises an exception when the answer is written, after the request has ended at the entry. Change: Link checks the fields of an answer like those of a target, and takes a refusal after the start of an answer as a malformed answer. The request fails with 502 and is not sent elsewhere; other requests on the link go on.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.foxtailmoor.http.FieldSyntax;
 import org.foxtailmoor.protocol.generated.Header;
 
 /** Header names of the product, and helpers that filter and look up headers. */
@@ -75,6 +76,30 @@
         return endToEnd;
     }
 
+    /**
+     * Returns whether the headers of another node's message can be passed on: names and values are
+     * valid, and no header concerns a connection or the length of a body. The content length is
+     * allowed, because the answer to a HEAD request states it.
+     *
+     * @param headers headers, not null
+     */
+    static boolean isEndToEnd(List<Header> headers) {
+        for (Header header : headers) {
+            String name = header.getName().toLowerCase(Locale.ROOT);
+            boolean isLength = HttpHeaderNames.CONTENT_LENGTH.contentEquals(name);
+            boolean valid =
+                    FieldSyntax.isName(header.getName())
+                            && (isLength
+                                    ? isLength(header.getValue())
+                                    : !HOP_BY_HOP_HEADERS.contains(name)
+                                            && FieldSyntax.isValue(header.getValue()));
+            if (!valid) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Creates a header. */
     public static Header of(String name, String value) {
         return Header.newBuilder().setName(name).setValue(value).build();
@@ -110,6 +135,10 @@
         return updated;
     }
 
+    private static boolean isLength(String value) {
+        return !value.isEmpty() && value.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+    }
+
     private static Set<String> connectionOptions(HttpHeaders headers) {
         if (!headers.contains(HttpHeaderNames.CONNECTION)) {
             return Set.of();
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/Link.java
@@ -48,6 +48,7 @@
     /** Maximum number of concurrently open streams of a link. */
     static final int MAX_OPEN_STREAMS = 1_024;
 
+    private static final String MALFORMED_ANSWER = "the home node sent a malformed answer";
     private static final int MAX_STATUS = 599;
     private static final int MIN_STATUS = 200;
 
@@ -356,7 +357,7 @@
             return;
         }
         if (stream.mStart != null || !isValid(start)) {
-            fail(number, ErrorKind.UPSTREAM_FAILED, "the home node sent a malformed answer");
+            fail(number, ErrorKind.UPSTREAM_FAILED, MALFORMED_ANSWER);
             return;
         }
         int bytes = start.getBodyBytes();
@@ -394,10 +395,16 @@
 
     private void onRefusal(long number, Refusal refusal) {
         mListener.onLoad(this, refusal.getLoad());
-        Stream stream = mStreams.remove(number);
+        Stream stream = mStreams.get(number);
         if (stream == null) {
             return;
         }
+        if (stream.mStart != null) {
+            // The request has run, so that the refusal cannot be true.
+            fail(number, ErrorKind.UPSTREAM_FAILED, MALFORMED_ANSWER);
+            return;
+        }
+        mStreams.remove(number);
         mSender.cancel(number);
         stream.discardBody();
         stream.mListener.onOutcome(
@@ -417,6 +424,7 @@
     private static boolean isValid(ResponseStart start) {
         return start.getStatus() >= MIN_STATUS
                 && start.getStatus() <= MAX_STATUS
-                && start.getBodyBytes() >= 0;
+                && start.getBodyBytes() >= 0
+                && HeaderFields.isEndToEnd(start.getHeadersList());
     }
 }
