Refuse a success without the target's signature

Seen by callers: 200 without X-Server-Signature, when a target sent one. Cause: the signature was passed on like any other field; its absence was not examined. A success without it, or with an empty one, fails like any broken answer: 502, closed connection, no second upstream for what may run only once. Failures without a signature still reach the caller.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderNames.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderNames.java
@@ -12,6 +12,7 @@
  * @param callerService service of the instance where the request originated; set by the entry node
  * @param expectedInstance target chosen by the entry node, on requests to targets
  * @param notExecuted present on answers from targets that did not run the request
+ * @param signature present on each successful answer of a target; empty if targets do not sign
  * @param fractionalRetryAfter whether Retry-After may contain fractional seconds
  */
 public record HeaderNames(
@@ -20,6 +21,7 @@
         AsciiString callerService,
         AsciiString expectedInstance,
         AsciiString notExecuted,
+        AsciiString signature,
         boolean fractionalRetryAfter) {
     /** Default names of the product. */
     public static final HeaderNames DEFAULT =
@@ -29,6 +31,7 @@
                     AsciiString.of("foxtailmoor-caller-service"),
                     AsciiString.of("foxtailmoor-expected-instance"),
                     AsciiString.of("foxtailmoor-not-executed"),
+                    AsciiString.EMPTY_STRING,
                     false);
 
     /** Checks that no name is null. */
@@ -38,5 +41,6 @@
         Objects.requireNonNull(callerService, "callerService");
         Objects.requireNonNull(expectedInstance, "expectedInstance");
         Objects.requireNonNull(notExecuted, "notExecuted");
+        Objects.requireNonNull(signature, "signature");
     }
 }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -199,6 +199,10 @@
             fail("the target's answer does not name its request", false);
             return false;
         }
+        if (isUnsignedSuccess(response)) {
+            fail("the target's answer is a success without its signature", false);
+            return false;
+        }
         long length = isBodiless(status) ? 0 : HttpUtil.getContentLength(response, -1L);
         mBody = length > maxAnswerBytes() ? null : newCollector((int) length);
         if (mBody == null) {
@@ -215,6 +219,12 @@
         return true;
     }
 
+    private boolean isUnsignedSuccess(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.SUCCESS
+                && !mHeaderNames.signature().isEmpty()
+                && response.headers().get(mHeaderNames.signature(), "").isEmpty();
+    }
+
     private BodyCollector newCollector(int length) {
         int limit = length == BodyCollector.UNKNOWN_LENGTH ? maxAnswerBytes() : length;
         return BodyCollector.of(mMemory, mChannel.alloc(), length, limit);
