Read status answers and classify characters without streams

The status command reads through the client of the JDK, which refuses broken answers already: StatusMainTest.statusReportsBrokenAnswers keeps six of them. The processor time of a start was not measured.

--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/BodyLength.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/BodyLength.java
@@ -50,13 +50,11 @@
 
     private static void checkLengths(HttpResponse head, List<String> lengths) {
         String length = lengths.get(0);
-        if (lengths.size() > 1
-                || length.isEmpty()
-                || !length.chars().allMatch(Characters::isDigit)) {
+        if (lengths.size() > 1 || length.isEmpty() || !Characters.DIGITS.containsAll(length)) {
             throw new InvalidResponseException("the content length is not one number");
         }
-        boolean zero = length.chars().allMatch(digit -> digit == '0');
-        if (!zero && (isInterim(head) || hasNoContent(head))) {
+        boolean bodiless = isInterim(head) || hasNoContent(head);
+        if (bodiless && !length.replace("0", "").isEmpty()) {
             throw new InvalidResponseException("the status does not allow a body");
         }
     }
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ChunkedCoding.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ChunkedCoding.java
@@ -99,11 +99,11 @@
             skipBlanks(line);
             boolean valid = line.skip(';');
             skipBlanks(line);
-            valid &= line.skipAll(Characters::isToken) > 0;
+            valid &= line.skipAll(Characters.TOKEN) > 0;
             int blanks = skipBlanks(line);
             if (line.skip('=')) {
                 skipBlanks(line);
-                valid &= line.skipAll(Characters::isToken) > 0 || skipQuotedString(line);
+                valid &= line.skipAll(Characters.TOKEN) > 0 || skipQuotedString(line);
             } else {
                 // Blanks are allowed only before the next extension.
                 valid &= blanks == 0 || !line.isAtEnd();
@@ -115,7 +115,7 @@
     }
 
     private static int skipBlanks(Line line) {
-        return line.skipAll(Characters::isBlank);
+        return line.skipAll(Characters.BLANKS);
     }
 
     /** Moves behind a quoted string if one comes next; returns whether it does. */
@@ -128,7 +128,7 @@
             if (next == '"') {
                 return true;
             }
-            if (!Characters.isText(next == '\\' ? line.next() : next)) {
+            if (!Characters.TEXT.contains(next == '\\' ? line.next() : next)) {
                 return false;
             }
         }
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/FieldSyntax.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/FieldSyntax.java
@@ -13,7 +13,17 @@
      */
     public static boolean isName(String name) {
         return !Objects.requireNonNull(name, "name").isEmpty()
-                && name.chars().allMatch(Characters::isToken);
+                && Characters.TOKEN.containsAll(name);
+    }
+
+    /**
+     * Returns whether a value is the length of a body.
+     *
+     * @param value value of a Content-Length field, not null
+     */
+    public static boolean isLength(String value) {
+        return !Objects.requireNonNull(value, "value").isEmpty()
+                && Characters.DIGITS.containsAll(value);
     }
 
     /**
@@ -22,6 +32,6 @@
      * @param value value, one character for each byte, not null
      */
     public static boolean isValue(String value) {
-        return Objects.requireNonNull(value, "value").chars().allMatch(Characters::isText);
+        return Characters.TEXT.containsAll(Objects.requireNonNull(value, "value"));
     }
 }
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/Line.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/Line.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
-import java.util.function.IntPredicate;
 
 /** One line of a response without its line end, read from left to right. */
 final class Line {
@@ -87,9 +86,9 @@
     }
 
     /** Moves behind all next bytes of a class; returns their number. */
-    int skipAll(IntPredicate characters) {
+    int skipAll(Characters characters) {
         int start = mPosition;
-        while (!isAtEnd() && characters.test(peek())) {
+        while (!isAtEnd() && characters.contains(peek())) {
             mPosition++;
         }
         return mPosition - start;
--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseLines.java
@@ -35,7 +35,7 @@
      */
     static void checkStatusLine(Line line) {
         // A later minor version is read as the highest one that is known, RFC 9110, section 6.2.
-        if (!line.skip("HTTP/1.") || !Characters.isDigit(line.next()) || !line.skip(' ')) {
+        if (!line.skip("HTTP/1.") || !Characters.DIGITS.contains(line.next()) || !line.skip(' ')) {
             throw new InvalidResponseException("the status line has no valid version");
         }
         int status = readStatus(line);
@@ -51,7 +51,7 @@
         if (!line.skip(' ')) {
             throw new InvalidResponseException("the status code is not a number of three digits");
         }
-        line.skipAll(Characters::isText);
+        line.skipAll(Characters.TEXT);
         if (!line.isAtEnd()) {
             throw new InvalidResponseException("the reason phrase has a control byte");
         }
@@ -64,10 +64,10 @@
      * @throws InvalidResponseException if the line is not valid
      */
     static void checkFieldLine(Line line) {
-        if (line.skipAll(Characters::isToken) == 0 || !line.skip(':')) {
+        if (line.skipAll(Characters.TOKEN) == 0 || !line.skip(':')) {
             throw new InvalidResponseException("a field line has no valid name");
         }
-        line.skipAll(Characters::isText);
+        line.skipAll(Characters.TEXT);
         if (!line.isAtEnd()) {
             throw new InvalidResponseException("a field value has a control byte");
         }
@@ -77,7 +77,7 @@
         int status = 0;
         for (int i = 0; i < STATUS_DIGITS; i++) {
             int digit = line.next();
-            if (!Characters.isDigit(digit)) {
+            if (!Characters.DIGITS.contains(digit)) {
                 throw new InvalidResponseException(
                         "the status code is not a number of three digits");
             }
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/HeaderFields.java
@@ -90,7 +90,7 @@
             boolean valid =
                     FieldSyntax.isName(header.getName())
                             && (isLength
-                                    ? isLength(header.getValue())
+                                    ? FieldSyntax.isLength(header.getValue())
                                     : !HOP_BY_HOP_HEADERS.contains(name)
                                             && FieldSyntax.isValue(header.getValue()));
             if (!valid) {
@@ -135,10 +135,6 @@
         return updated;
     }
 
-    private static boolean isLength(String value) {
-        return !value.isEmpty() && value.chars().allMatch(digit -> digit >= '0' && digit <= '9');
-    }
-
     private static Set<String> connectionOptions(HttpHeaders headers) {
         if (!headers.contains(HttpHeaderNames.CONNECTION)) {
             return Set.of();
--- a/foxtailmoor-status/src/test/java/org/foxtailmoor/status/StatusMainTest.java
+++ b/foxtailmoor-status/src/test/java/org/foxtailmoor/status/StatusMainTest.java
@@ -6,16 +6,26 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class StatusMainTest {
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
@@ -89,6 +99,43 @@
         run(2, "status", "--node", mNode, "--limit-milliseconds", "-1");
     }
 
+    /** Guards against a broken answer that is shown as the state of a node. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length x: 2\r\n\r\n{\"",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+            })
+    void statusReportsBrokenAnswers(String answer) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> served =
+                    CompletableFuture.runAsync(() -> answerOnce(server, answer));
+            assertThat(run(6, "status", "--node", "127.0.0.1:" + server.getLocalPort()))
+                    .contains("does not answer");
+            served.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void answerOnce(ServerSocket server, String answer) {
+        try (Socket socket = server.accept()) {
+            BufferedReader reader =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            String line = reader.readLine();
+            while (line != null && !line.isEmpty()) {
+                line = reader.readLine();
+            }
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Guards against special characters in the path that alter the query. */
     @Test
     void explainEncodesMethodAndPath() {
