Find a reset that follows the end of an answer

Seen by callers: 200 with a part of an answer without length, when the target closed its socket with unread bytes of an upload that the socket buffers held (200 KB to 3 MB; longer ones were covered by the wait for the write). Cause: the end of the output comes before the reset, so that reads report an orderly end, and nothing is left to be written that could fail. Change: an answer to a request of more than 8 KB that ends with its connection is complete 200 ms after the end of the output, if the connection has not been reset by then; ResettableSocketChannel asks the selector for a pending error. This replaces the wait for the write, whose failure closes the channel anyway.

--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
@@ -1,8 +1,7 @@
 package org.foxtailmoor.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -12,7 +11,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -24,21 +22,21 @@
  * HttpObject#decoderResult()} has failed, and ignores all later bytes of the connection.
  *
  * <p>A body that ends with its connection is complete only if the peer has ended its output in
- * order and does not reset the connection while the request is still being written. A reset that is
- * found by a write closes the channel like an orderly end.
+ * order and has not reset the connection. A reset that is found by a write closes the channel like
+ * an orderly end, and one that follows the end of the output is found only on a {@link
+ * ResettableSocketChannel}.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
     /**
-     * Time for which the end of a body waits for the rest of its request to be written. A peer that
-     * closes a socket with unread bytes may end its output in order and reset the connection
-     * immediately afterwards; a peer that reads on does not.
+     * Time after the end of the peer's output in which a reset may still follow. A peer that closes
+     * a socket with unread bytes ends its output, and resets the connection immediately afterwards.
      */
-    static final long RESET_WAIT_MILLISECONDS = 500;
+    static final long RESET_WAIT_MILLISECONDS = 200;
 
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private boolean mHeadRequest;
+    private boolean mLongRequest;
     private boolean mFailed;
-    private boolean mInputEnded;
 
     /**
      * Creates a decoder.
@@ -54,6 +52,14 @@
         mHeadRequest = headRequest;
     }
 
+    /**
+     * Sets whether the next response answers a long request, of which the peer may leave a part
+     * unread. A body that ends with its connection is then complete a short time later.
+     */
+    public final void setLongRequest(boolean longRequest) {
+        mLongRequest = longRequest;
+    }
+
     /** Lets the channel report the end of the peer's output instead of closing itself. */
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -106,34 +112,28 @@
     }
 
     private void onOutputOfPeerEnded(ChannelHandlerContext context) throws Exception {
-        if (!mSyntax.isBodyEndedByConnection()) {
+        if (mLongRequest && mSyntax.isBodyEndedByConnection()) {
+            context.executor()
+                    .schedule(
+                            () -> endInput(context),
+                            RESET_WAIT_MILLISECONDS,
+                            TimeUnit.MILLISECONDS);
+        } else {
             endInput(context);
-            return;
         }
-        // Completes when everything that was written before has left the channel.
-        ChannelFuture written = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
-        Future<?> timer =
-                context.executor()
-                        .schedule(
-                                () -> endInput(context),
-                                RESET_WAIT_MILLISECONDS,
-                                TimeUnit.MILLISECONDS);
-        written.addListener(
-                future -> {
-                    timer.cancel(false);
-                    if (future.isSuccess()) {
-                        endInput(context);
-                    }
-                });
     }
 
-    /** Completes a body that ends with its connection, and closes the channel. */
+    /** Completes a body that ends with its connection unless it was reset; closes the channel. */
     private Void endInput(ChannelHandlerContext context) throws Exception {
-        if (!mInputEnded) {
-            mInputEnded = true;
+        Channel channel = context.channel();
+        boolean reset =
+                mSyntax.isBodyEndedByConnection()
+                        && channel instanceof ResettableSocketChannel socketChannel
+                        && socketChannel.isReset();
+        if (channel.isActive() && !reset) {
             super.userEventTriggered(context, ChannelInputShutdownEvent.INSTANCE);
-            context.close();
         }
+        context.close();
         return null;
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -20,6 +19,7 @@
 import java.util.function.Consumer;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.http.ResettableSocketChannel;
 
 /**
  * Sends requests to the node's target over a pool of HTTP/1.1 connections.
@@ -142,7 +142,7 @@
     private ChannelFuture connect() {
         return new Bootstrap()
                 .group(mLoop)
-                .channel(NioSocketChannel.class)
+                .channel(ResettableSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                 .handler(
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -35,6 +35,9 @@
      */
     private static final long MAX_BYTES_BESIDE_BODY = 4L << 20;
 
+    /** A target that reads through a buffer has read a body of this size together with its head. */
+    private static final int MAX_BODY_READ_WITH_HEAD_BYTES = 8_192;
+
     /**
      * Part of the memory for answers that one answer may use. A target that sends a body without
      * end takes no more than this from the answers to other requests.
@@ -108,7 +111,8 @@
         mInterimResponse = false;
         mNotExecuted = false;
         mRequestId = HeaderFields.find(request.headers(), mHeaderNames.requestId());
-        mDecoder.expectAnswer(isHeadRequest());
+        mDecoder.expectAnswer(
+                isHeadRequest(), request.body().length() > MAX_BODY_READ_WITH_HEAD_BYTES);
         mWriteFuture = mChannel.writeAndFlush(encode(request));
     }
 
--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetResponseDecoder.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetResponseDecoder.java
@@ -23,10 +23,12 @@
      * Starts to accept an answer.
      *
      * @param headRequest whether the answer has no body because it answers a HEAD request
+     * @param longRequest whether the target may answer before it has read the request
      */
-    void expectAnswer(boolean headRequest) {
+    void expectAnswer(boolean headRequest, boolean longRequest) {
         mExpectingAnswer = true;
         setHeadRequest(headRequest);
+        setLongRequest(longRequest);
         mDecodedBytes = 0;
     }
 
