--- a/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
+++ b/foxtailmoor-http/src/main/java/org/foxtailmoor/http/ResponseDecoder.java
@@ -24,7 +24,7 @@
  * <p>A body that ends with its connection is complete only if the peer has ended its output in
  * order and has not reset the connection. A reset that is found by a write closes the channel like
  * an orderly end, and one that follows the end of the output is found only on a {@link
- * ResettableSocketChannel}.
+ * ResettableSocketChannel} and for long requests.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
     /**
@@ -115,28 +115,32 @@
         if (mLongRequest && mSyntax.isBodyEndedByConnection()) {
             context.executor()
                     .schedule(
-                            () -> endInput(context),
+                            () -> endBodyUnlessReset(context),
                             RESET_WAIT_MILLISECONDS,
                             TimeUnit.MILLISECONDS);
         } else {
-            endInput(context);
+            endBody(context);
         }
     }
 
-    /** Completes a body that ends with its connection unless it was reset; closes the channel. */
-    private Void endInput(ChannelHandlerContext context) throws Exception {
+    private Void endBodyUnlessReset(ChannelHandlerContext context) throws Exception {
         Channel channel = context.channel();
         boolean reset =
-                mSyntax.isBodyEndedByConnection()
-                        && channel instanceof ResettableSocketChannel socketChannel
-                        && socketChannel.isReset();
+                channel instanceof ResettableSocketChannel socketChannel && socketChannel.isReset();
         if (channel.isActive() && !reset) {
-            super.userEventTriggered(context, ChannelInputShutdownEvent.INSTANCE);
+            endBody(context);
+        } else {
+            context.close();
         }
-        context.close();
         return null;
     }
 
+    /** Completes a body that ends with its connection, if there is one, and closes the channel. */
+    private void endBody(ChannelHandlerContext context) throws Exception {
+        super.userEventTriggered(context, ChannelInputShutdownEvent.INSTANCE);
+        context.close();
+    }
+
     private static boolean hasFailed(List<Object> messages) {
         for (Object message : messages) {
             if (((HttpObject) message).decoderResult().isFailure()) {
