Keep the bytes of a broken answer out of the error message

Seen by callers: since the status lines are checked, the 502 for a broken answer repeated a part of it, control bytes included, if Netty's decoder had found the fault. Cause: the message of the decoder's exception was appended to the error. Change: only the reasons of ResponseDecoder are appended, which are fixed texts.

--- a/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
+++ b/foxtailmoor-node/src/main/java/org/foxtailmoor/node/data/TargetConnection.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailmoor.base.ErrorKind;
 import org.foxtailmoor.core.admission.BodyMemory;
+import org.foxtailmoor.http.InvalidResponseException;
 import org.foxtailmoor.protocol.generated.Header;
 
 /** One HTTP/1.1 connection to the target, which carries one request at a time. */
@@ -137,8 +138,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            String reason = message.decoderResult().cause().getMessage();
-            fail("the target's answer is not valid HTTP: " + reason, false);
+            fail("the target's answer is not valid HTTP" + reason(message), false);
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -223,6 +223,12 @@
         return true;
     }
 
+    /** Returns the reason of a failure for messages. Other reasons may repeat what was received. */
+    private static String reason(HttpObject message) {
+        Throwable cause = message.decoderResult().cause();
+        return cause instanceof InvalidResponseException ? ": " + cause.getMessage() : "";
+    }
+
     private boolean isUnsignedSuccess(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.SUCCESS
                 && !mHeaderNames.signature().isEmpty()
--- a/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetAnswerTest.java
+++ b/foxtailmoor-node/src/test/java/org/foxtailmoor/node/data/TargetAnswerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which answers of a target reach a caller, beside the target and behind another node. */
 @Timeout(60)
@@ -73,6 +74,16 @@
             assertNextRequestIsAnswered();
         }
 
+        /** Guards against an error that passes the invalid bytes on. */
+        @ParameterizedTest
+        @ValueSource(strings = {"SECRET/9.9 200 OK", "HTTP/1.1 200 OK\r\nSEC\u0001RET: SECRET"})
+        void errorDoesNotRepeatTheBytesOfTheTarget(String start) throws Exception {
+            send("POST").send(start + "\r\n\r\n");
+            RawCaller.Answer answer = mCaller.read();
+            assertThat(answer.status()).isEqualTo(502);
+            assertThat(answer.body()).contains("not valid HTTP").doesNotContain("SECRET", "\u0001");
+        }
+
         @ParameterizedTest
         @EnumSource
         void validAnswerReachesTheCaller(ValidAnswer valid) throws Exception {
