--- a/review/common-3/lab3/Upstream.java
+++ b/review/common-3/lab3/Upstream.java
@@ -17,6 +17,9 @@
     /** A request that the upstream began to run. */
     public record Run(long nanoseconds, String line, String id, String caller, byte[] body) {}
 
+    /** Connection that the thread serves. */
+    protected static final ThreadLocal<Socket> SOCKET = new ThreadLocal<>();
+
     public final String mId;
     public final String mService;
     public final List<Run> mRuns = new CopyOnWriteArrayList<>();
@@ -66,6 +69,7 @@
     }
 
     private void serve(Socket socket) {
+        SOCKET.set(socket);
         try (socket) {
             InputStream input = new BufferedInputStream(socket.getInputStream());
             socket.setTcpNoDelay(true);
