--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,4 @@
 #!/bin/bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3.
-set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")/.."
-mkdir -p target/review-3
-mapfile -t SOURCES < <(find review/common-3 review/1[1-5] -name '*.java' 2>/dev/null)
-javac -encoding UTF-8 --release 17 -d target/review-3 "${SOURCES[@]}"
+# Builds the stand-ins that scripts of the third review start. Its only case is a day of the bench,
+# so that there is nothing to build.
+exit 0
